Move the port for stored objects to a module named for it

The users' adapter needs the name platform/ and stands above the product; what was there is the product's own port for stored objects, its pacing and the codecs of its kinds. Moved, unchanged.

--- a/bench/src/main/java/org/sardinelift/bench/slope/AdmissionSlopes.java
+++ b/bench/src/main/java/org/sardinelift/bench/slope/AdmissionSlopes.java
@@ -9,7 +9,7 @@
 import org.sardinelift.core.catalog.TeamPlan;
 import org.sardinelift.core.limit.FleetLimit;
 import org.sardinelift.core.limit.LimitActions;
-import org.sardinelift.platform.kinds.SharesCodec;
+import org.sardinelift.objects.kinds.SharesCodec;
 
 /** Admission against teams and against entries. */
 final class AdmissionSlopes {
--- a/bench/src/main/java/org/sardinelift/bench/slope/CompanionFleet.java
+++ b/bench/src/main/java/org/sardinelift/bench/slope/CompanionFleet.java
@@ -20,7 +20,7 @@
 import org.sardinelift.entry.call.PoisonBounds;
 import org.sardinelift.entry.peer.PeerMesh;
 import org.sardinelift.http.HttpClient;
-import org.sardinelift.platform.HttpObjectStore;
+import org.sardinelift.objects.HttpObjectStore;
 import org.sardinelift.protocol.FrameConnection;
 import org.sardinelift.protocol.FrameListener;
 import org.sardinelift.protocol.LinkTimings;
--- a/companion/src/main/java/org/sardinelift/companion/CompanionProcess.java
+++ b/companion/src/main/java/org/sardinelift/companion/CompanionProcess.java
@@ -35,7 +35,7 @@
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.http.HttpLimits;
 import org.sardinelift.http.HttpServer;
-import org.sardinelift.platform.HttpObjectStore;
+import org.sardinelift.objects.HttpObjectStore;
 import org.sardinelift.protocol.DecisionFrames;
 import org.sardinelift.protocol.FrameConnection;
 import org.sardinelift.protocol.FrameServer;
--- a/entry/src/main/java/org/sardinelift/entry/EntryServices.java
+++ b/entry/src/main/java/org/sardinelift/entry/EntryServices.java
@@ -54,7 +54,7 @@
 import org.sardinelift.entry.order.OrderLanes;
 import org.sardinelift.entry.peer.PeerMesh;
 import org.sardinelift.http.HttpExchange;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.protocol.FrameConnection;
 import org.sardinelift.protocol.FrameLink;
 import org.sardinelift.protocol.generated.Hello;
--- a/entry/src/main/java/org/sardinelift/entry/EntrySettings.java
+++ b/entry/src/main/java/org/sardinelift/entry/EntrySettings.java
@@ -13,7 +13,7 @@
 import org.sardinelift.entry.control.LimitSettings;
 import org.sardinelift.entry.filter.IdempotencyBounds;
 import org.sardinelift.entry.order.OrderSettings;
-import org.sardinelift.platform.CallBudget;
+import org.sardinelift.objects.CallBudget;
 import org.sardinelift.protocol.LinkTimings;
 import org.sardinelift.runtime.tls.PlaintextCheck;
 import org.sardinelift.runtime.tls.ServerTlsSettings;
--- a/entry/src/main/java/org/sardinelift/entry/batch/BatchService.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/BatchService.java
@@ -13,7 +13,7 @@
 import org.sardinelift.core.catalog.Catalog;
 import org.sardinelift.core.fleet.FleetView;
 import org.sardinelift.entry.call.CallDispatcher;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.runtime.ControlThread;
 
 /** Batch work on an entry: accepts jobs, runs those that fall to it, and shows results. */
--- a/entry/src/main/java/org/sardinelift/entry/batch/CachedObjectStore.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/CachedObjectStore.java
@@ -4,13 +4,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import org.sardinelift.platform.InstancesResult;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.WatchResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.InstancesResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.WatchResult;
+import org.sardinelift.objects.WriteResult;
 
 /** The platform with a cache of the objects of batch work that never change once written. */
 final class CachedObjectStore implements ObjectStore {
--- a/entry/src/main/java/org/sardinelift/entry/batch/Expiry.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/Expiry.java
@@ -1,8 +1,8 @@
 package org.sardinelift.entry.batch;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.StoredObject;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.StoredObject;
 
 /**
  * Says when to look at a job for its removal. The name starts with the time, so that those that are
--- a/entry/src/main/java/org/sardinelift/entry/batch/FolderCache.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/FolderCache.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.StoredObject;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.StoredObject;
 import org.tinylog.Logger;
 
 /**
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobAcceptance.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobAcceptance.java
@@ -12,9 +12,9 @@
 import org.sardinelift.core.outcome.Problem;
 import org.sardinelift.core.outcome.ProblemKind;
 import org.sardinelift.core.outcome.RunOutcome;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
 
 /**
  * Accepts jobs: chunks first, then the header, then the marker that makes the job run. Each is the
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobCancel.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobCancel.java
@@ -5,8 +5,8 @@
 import org.sardinelift.core.batch.JobState;
 import org.sardinelift.core.outcome.Problem;
 import org.sardinelift.core.outcome.ProblemKind;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
 
 /** Cancels jobs, whichever entry runs them, and confirms once the cancel holds. */
 final class JobCancel {
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobClaims.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobClaims.java
@@ -16,7 +16,7 @@
 import org.sardinelift.core.batch.Rendezvous;
 import org.sardinelift.core.fleet.FleetView;
 import org.sardinelift.core.fleet.InstanceInfo;
-import org.sardinelift.platform.ReadResult;
+import org.sardinelift.objects.ReadResult;
 import org.tinylog.Logger;
 
 /** Claims open jobs that no live entry holds and that fall to this entry. */
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobHeader.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobHeader.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.sardinelift.core.batch.JobStage;
-import org.sardinelift.platform.ObjectKey;
+import org.sardinelift.objects.ObjectKey;
 
 /**
  * What was accepted; only its stage ever changes.
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobReader.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobReader.java
@@ -16,9 +16,9 @@
 import org.sardinelift.core.outcome.Problem;
 import org.sardinelift.core.outcome.ProblemKind;
 import org.sardinelift.core.outcome.RunOutcome;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ReadResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ReadResult;
 
 /** Reads jobs and results for callers; any entry can. */
 final class JobReader {
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobRun.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobRun.java
@@ -13,7 +13,7 @@
 import org.sardinelift.core.outcome.Problem;
 import org.sardinelift.core.outcome.ProblemKind;
 import org.sardinelift.core.outcome.RunOutcome;
-import org.sardinelift.platform.ReadResult;
+import org.sardinelift.objects.ReadResult;
 import org.tinylog.Logger;
 
 /**
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobStore.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobStore.java
@@ -2,11 +2,11 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.WriteResult;
 
 /** The platform's objects with answers on the control thread. */
 final class JobStore {
--- a/entry/src/main/java/org/sardinelift/entry/batch/JobSweeper.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/JobSweeper.java
@@ -7,12 +7,12 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.sardinelift.core.batch.Rendezvous;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
 import org.tinylog.Logger;
 
 /**
--- a/entry/src/main/java/org/sardinelift/entry/batch/LeaseKeeper.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/LeaseKeeper.java
@@ -4,10 +4,10 @@
 import java.util.function.Supplier;
 import org.sardinelift.core.batch.Holder;
 import org.sardinelift.core.batch.LeaseHold;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.WriteResult;
 import org.tinylog.Logger;
 
 /** Renews this entry's lease, one write each period. */
--- a/entry/src/main/java/org/sardinelift/entry/batch/OpenJobs.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/OpenJobs.java
@@ -8,11 +8,11 @@
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.batch.LaneShares;
 import org.sardinelift.core.batch.LeaseWatch;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WatchResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WatchResult;
 import org.tinylog.Logger;
 
 /**
--- a/entry/src/main/java/org/sardinelift/entry/batch/ResultWriter.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/ResultWriter.java
@@ -7,7 +7,7 @@
 import java.util.stream.Stream;
 import org.sardinelift.core.batch.ChunkResult;
 import org.sardinelift.core.batch.JobState;
-import org.sardinelift.platform.ObjectKey;
+import org.sardinelift.objects.ObjectKey;
 
 /** Writes the result objects of one job. They count only once the job's state names them. */
 final class ResultWriter {
--- a/entry/src/main/java/org/sardinelift/entry/batch/StateCell.java
+++ b/entry/src/main/java/org/sardinelift/entry/batch/StateCell.java
@@ -7,10 +7,10 @@
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.batch.JobState;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
 
 /**
  * One job's state in the platform. Changes are transitions that may be applied again: after a
--- a/entry/src/main/java/org/sardinelift/entry/control/FleetLimiter.java
+++ b/entry/src/main/java/org/sardinelift/entry/control/FleetLimiter.java
@@ -25,7 +25,7 @@
 import org.sardinelift.core.limit.Shares;
 import org.sardinelift.core.limit.TeamLimiter;
 import org.sardinelift.entry.peer.Peers;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.protocol.FrameConnection;
 import org.sardinelift.protocol.FrameListener;
 import org.sardinelift.protocol.generated.Borrow;
--- a/entry/src/main/java/org/sardinelift/entry/control/MembershipController.java
+++ b/entry/src/main/java/org/sardinelift/entry/control/MembershipController.java
@@ -8,8 +8,8 @@
 import org.sardinelift.core.fleet.InstanceInfo;
 import org.sardinelift.core.fleet.Membership;
 import org.sardinelift.core.fleet.MembershipTimings;
-import org.sardinelift.platform.InstancesResult;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.InstancesResult;
+import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.runtime.ControlThread;
 import org.tinylog.Logger;
 
--- a/entry/src/main/java/org/sardinelift/entry/control/ShareStore.java
+++ b/entry/src/main/java/org/sardinelift/entry/control/ShareStore.java
@@ -4,12 +4,12 @@
 import org.sardinelift.core.limit.ShareCall;
 import org.sardinelift.core.limit.ShareLedger;
 import org.sardinelift.core.limit.Shares;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
-import org.sardinelift.platform.kinds.KindResult;
-import org.sardinelift.platform.kinds.SharesCodec;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
+import org.sardinelift.objects.kinds.KindResult;
+import org.sardinelift.objects.kinds.SharesCodec;
 import org.sardinelift.runtime.ControlThread;
 import org.tinylog.Logger;
 
--- a/entry/src/main/java/org/sardinelift/entry/control/ShareWatch.java
+++ b/entry/src/main/java/org/sardinelift/entry/control/ShareWatch.java
@@ -14,7 +14,7 @@
 import org.sardinelift.core.limit.MemberId;
 import org.sardinelift.core.limit.Shares;
 import org.sardinelift.entry.peer.Peers;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.WriteResult;
 
 /** Notes the shares that this entry reclaims, and knows those that are still to be reclaimed. */
 public final class ShareWatch implements SharesListener {
--- a/entry/src/main/java/org/sardinelift/entry/control/SharesListener.java
+++ b/entry/src/main/java/org/sardinelift/entry/control/SharesListener.java
@@ -1,7 +1,7 @@
 package org.sardinelift.entry.control;
 
 import org.sardinelift.core.limit.Shares;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.WriteResult;
 
 /** Sees the shares that entries hold of the limits, on the control thread. */
 public interface SharesListener {
--- a/entry/src/main/java/org/sardinelift/entry/filter/IdempotencyFilter.java
+++ b/entry/src/main/java/org/sardinelift/entry/filter/IdempotencyFilter.java
@@ -14,8 +14,8 @@
 import org.sardinelift.core.outcome.RunOutcome;
 import org.sardinelift.core.poison.Fingerprint;
 import org.sardinelift.entry.call.CallListener;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
 import org.tinylog.Logger;
 
 /**
--- a/entry/src/main/java/org/sardinelift/entry/filter/IntentStore.java
+++ b/entry/src/main/java/org/sardinelift/entry/filter/IntentStore.java
@@ -9,11 +9,11 @@
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.outcome.IdempotencyRecord;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
 import org.tinylog.Logger;
 
 /** Idempotency records in the platform; a lost answer is settled by reading the record again. */
--- a/entry/src/main/java/org/sardinelift/entry/order/OrderController.java
+++ b/entry/src/main/java/org/sardinelift/entry/order/OrderController.java
@@ -19,7 +19,7 @@
 import org.sardinelift.core.order.RolloutSpec;
 import org.sardinelift.core.order.RolloutState;
 import org.sardinelift.core.order.TargetOrder;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.protocol.generated.Order;
 import org.sardinelift.protocol.generated.OrderResult;
 import org.tinylog.Logger;
--- a/entry/src/main/java/org/sardinelift/entry/order/RolloutStore.java
+++ b/entry/src/main/java/org/sardinelift/entry/order/RolloutStore.java
@@ -13,14 +13,14 @@
 import org.sardinelift.core.order.LeaseRecord;
 import org.sardinelift.core.order.RolloutSpec;
 import org.sardinelift.core.order.RolloutState;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
-import org.sardinelift.platform.kinds.KindResult;
-import org.sardinelift.platform.kinds.RolloutCodec;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
+import org.sardinelift.objects.kinds.KindResult;
+import org.sardinelift.objects.kinds.RolloutCodec;
 import org.tinylog.Logger;
 
 /** The objects of roll-outs at the platform, with answers on the control thread. */
--- a/entry/src/test/java/org/sardinelift/entry/FakeCompanion.java
+++ b/entry/src/test/java/org/sardinelift/entry/FakeCompanion.java
@@ -13,7 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
-import org.sardinelift.platform.InstancesResult;
+import org.sardinelift.objects.InstancesResult;
 import org.sardinelift.protocol.FrameConnection;
 import org.sardinelift.protocol.FrameListener;
 import org.sardinelift.protocol.FrameServer;
--- a/entry/src/test/java/org/sardinelift/entry/KeyAndDrainTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/KeyAndDrainTest.java
@@ -19,9 +19,9 @@
 import org.junit.jupiter.api.Test;
 import org.sardinelift.core.limit.Shares;
 import org.sardinelift.http.HttpAnswer;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.kinds.KindResult;
-import org.sardinelift.platform.kinds.SharesCodec;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.kinds.KindResult;
+import org.sardinelift.objects.kinds.SharesCodec;
 import org.sardinelift.protocol.generated.Start;
 
 class KeyAndDrainTest {
--- a/entry/src/test/java/org/sardinelift/entry/batch/BatchServiceTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/batch/BatchServiceTest.java
@@ -117,7 +117,7 @@
         fleet.submit(entry, "evening", Fleet.chatLines(3));
         fleet.advance(SETTLE);
         var listed =
-                (org.sardinelift.platform.ListResult.Listed) store.list(OpenJobs.KIND, "").join();
+                (org.sardinelift.objects.ListResult.Listed) store.list(OpenJobs.KIND, "").join();
         assertTrue(listed.objects().isEmpty());
     }
 
--- a/entry/src/test/java/org/sardinelift/entry/batch/Fleet.java
+++ b/entry/src/test/java/org/sardinelift/entry/batch/Fleet.java
@@ -18,7 +18,7 @@
 import org.sardinelift.core.explain.DecisionRecord;
 import org.sardinelift.core.explain.DecisionRecorder;
 import org.sardinelift.core.fleet.FleetView;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 
 /** Entries over one platform in virtual time. */
 final class Fleet {
--- a/entry/src/test/java/org/sardinelift/entry/batch/FolderCacheTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/batch/FolderCacheTest.java
@@ -10,10 +10,10 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
 import org.sardinelift.testkit.FakeObjectStore;
 
 class FolderCacheTest {
--- a/entry/src/test/java/org/sardinelift/entry/batch/ReadOnlyStore.java
+++ b/entry/src/test/java/org/sardinelift/entry/batch/ReadOnlyStore.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.sardinelift.platform.InstancesResult;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.WatchResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.InstancesResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.WatchResult;
+import org.sardinelift.objects.WriteResult;
 import org.sardinelift.testkit.FakeObjectStore;
 
 /** Lets a test look at results without taking part: it can't write and so holds no lease. */
--- a/entry/src/test/java/org/sardinelift/entry/batch/RemovalTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/batch/RemovalTest.java
@@ -16,8 +16,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.StoredObject;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.StoredObject;
 import org.sardinelift.testkit.FakeObjectStore;
 
 /** Ended jobs leave the platform after their retention, whole and in no race with a new life. */
--- a/entry/src/test/java/org/sardinelift/entry/batch/StateAudit.java
+++ b/entry/src/test/java/org/sardinelift/entry/batch/StateAudit.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 import org.sardinelift.core.batch.JobCounts;
 import org.sardinelift.core.batch.JobState;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.WriteResult;
 import org.sardinelift.testkit.FakeObjectStore;
 
 /** Checks every state of a job that takes effect in the platform against the one before. */
--- a/entry/src/test/java/org/sardinelift/entry/control/ConfigControllerTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/control/ConfigControllerTest.java
@@ -11,8 +11,8 @@
 import org.sardinelift.core.catalog.ConfigItem;
 import org.sardinelift.core.catalog.ConfigTimings;
 import org.sardinelift.core.catalog.KeyEntry;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.kinds.ConfigCodec;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.kinds.ConfigCodec;
 import org.sardinelift.runtime.ControlThread;
 import org.sardinelift.testkit.FakeObjectStore;
 
--- a/platform/src/main/java/org/sardinelift/platform/CallBudget.java
+++ b/objects/src/main/java/org/sardinelift/objects/CallBudget.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 /**
  * What one instance may call of the platform.
--- a/platform/src/main/java/org/sardinelift/platform/ObjectJson.java
+++ b/objects/src/main/java/org/sardinelift/objects/ObjectJson.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
--- a/platform/src/main/java/org/sardinelift/platform/PacedObjectStore.java
+++ b/objects/src/main/java/org/sardinelift/objects/PacedObjectStore.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 import java.time.Duration;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/sardinelift/platform/ReadResult.java
+++ b/objects/src/main/java/org/sardinelift/objects/ReadResult.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 /** Outcome of a read. A read may be stale: it shows a state that once held. */
 public sealed interface ReadResult {
--- a/platform/src/main/java/org/sardinelift/platform/WriteResult.java
+++ b/objects/src/main/java/org/sardinelift/objects/WriteResult.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 /** Outcome of a conditional write or delete. */
 public sealed interface WriteResult {
--- a/platform/src/main/java/org/sardinelift/platform/kinds/KindResult.java
+++ b/objects/src/main/java/org/sardinelift/objects/kinds/KindResult.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform.kinds;
+package org.sardinelift.objects.kinds;
 
 import java.util.List;
 import org.sardinelift.core.catalog.ConfigProblem;
--- a/platform/src/main/java/org/sardinelift/platform/kinds/RolloutCodec.java
+++ b/objects/src/main/java/org/sardinelift/objects/kinds/RolloutCodec.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform.kinds;
+package org.sardinelift.objects.kinds;
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
--- a/platform/src/main/java/org/sardinelift/platform/kinds/SharesCodec.java
+++ b/objects/src/main/java/org/sardinelift/objects/kinds/SharesCodec.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform.kinds;
+package org.sardinelift.objects.kinds;
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -9,7 +9,7 @@
 import org.sardinelift.core.catalog.ConfigProblem;
 import org.sardinelift.core.limit.MemberId;
 import org.sardinelift.core.limit.Shares;
-import org.sardinelift.platform.ObjectKey;
+import org.sardinelift.objects.ObjectKey;
 import org.sardinelift.settings.SettingsFile;
 import org.sardinelift.settings.SettingsNode;
 import org.sardinelift.settings.SettingsResult;
--- a/platform/src/main/java/org/sardinelift/platform/package-info.java
+++ b/objects/src/main/java/org/sardinelift/objects/package-info.java
@@ -1,5 +1,5 @@
 /** The platform's object API: versions, conditional updates, watches, outages. */
 @NullMarked
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/test/java/org/sardinelift/platform/PacedObjectStoreTest.java
+++ b/objects/src/test/java/org/sardinelift/objects/PacedObjectStoreTest.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform;
+package org.sardinelift.objects;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/platform/src/test/java/org/sardinelift/platform/kinds/ConfigCodecTest.java
+++ b/objects/src/test/java/org/sardinelift/objects/kinds/ConfigCodecTest.java
@@ -1,4 +1,4 @@
-package org.sardinelift.platform.kinds;
+package org.sardinelift.objects.kinds;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/ApplyCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/ApplyCommand.java
@@ -16,7 +16,7 @@
 import org.sardinelift.ctl.config.ConfigWriter;
 import org.sardinelift.ctl.config.StoredConfig;
 import org.sardinelift.ctl.config.WriteOutcome;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 
 /** Writes the objects of a file, each over the version that it was made for. */
 public final class ApplyCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/CommandContext.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/CommandContext.java
@@ -13,7 +13,7 @@
 import org.apache.commons.cli.ParseException;
 import org.sardinelift.ctl.http.Address;
 import org.sardinelift.ctl.http.Connections;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.ObjectStore;
 
 /**
  * What a command runs with.
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/GetCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/GetCommand.java
@@ -11,8 +11,8 @@
 import org.sardinelift.ctl.Json;
 import org.sardinelift.ctl.Outcome;
 import org.sardinelift.ctl.config.StoredConfig;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.kinds.ConfigCodec;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.kinds.ConfigCodec;
 
 /** Prints configuration objects in the form that apply reads. */
 public final class GetCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/KeysIssueCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/KeysIssueCommand.java
@@ -19,10 +19,10 @@
 import org.sardinelift.ctl.config.ConfigEntry;
 import org.sardinelift.ctl.config.ConfigWriter;
 import org.sardinelift.ctl.config.WriteOutcome;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.kinds.ConfigCodec;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.kinds.ConfigCodec;
 
 /** Issues a key to a team and shows it once; only its keyed hash is kept. */
 public final class KeysIssueCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/KeysWithdrawCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/KeysWithdrawCommand.java
@@ -15,10 +15,10 @@
 import org.sardinelift.ctl.config.ConfigWriter;
 import org.sardinelift.ctl.config.StoredConfig;
 import org.sardinelift.ctl.config.WriteOutcome;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
 
 /** Withdraws a key; the entry stays, so that the key can never come back. */
 public final class KeysWithdrawCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/RolloutObjects.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/RolloutObjects.java
@@ -9,13 +9,13 @@
 import org.sardinelift.ctl.ExitCode;
 import org.sardinelift.ctl.Json;
 import org.sardinelift.ctl.Outcome;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
-import org.sardinelift.platform.kinds.KindResult;
-import org.sardinelift.platform.kinds.RolloutCodec;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
+import org.sardinelift.objects.kinds.KindResult;
+import org.sardinelift.objects.kinds.RolloutCodec;
 
 /** The objects of one roll-out at the platform. */
 final class RolloutObjects {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/RolloutStartCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/RolloutStartCommand.java
@@ -14,11 +14,11 @@
 import org.sardinelift.core.order.RolloutState;
 import org.sardinelift.ctl.ExitCode;
 import org.sardinelift.ctl.Outcome;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.kinds.ConfigCodec;
-import org.sardinelift.platform.kinds.KindResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.kinds.ConfigCodec;
+import org.sardinelift.objects.kinds.KindResult;
 
 /** Starts a roll-out: writes what every target of a service is to hold. */
 public final class RolloutStartCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/RolloutStatusCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/RolloutStatusCommand.java
@@ -20,11 +20,11 @@
 import org.sardinelift.ctl.Json;
 import org.sardinelift.ctl.Outcome;
 import org.sardinelift.ctl.TextTable;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.kinds.KindResult;
-import org.sardinelift.platform.kinds.RolloutCodec;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.kinds.KindResult;
+import org.sardinelift.objects.kinds.RolloutCodec;
 
 /** Shows how far roll-outs are, and why they went back. */
 public final class RolloutStatusCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/TeamsCommand.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/TeamsCommand.java
@@ -20,9 +20,9 @@
 import org.sardinelift.ctl.Outcome;
 import org.sardinelift.ctl.TextTable;
 import org.sardinelift.ctl.config.StoredConfig;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.kinds.ConfigCodec;
-import org.sardinelift.platform.kinds.KindResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.kinds.ConfigCodec;
+import org.sardinelift.objects.kinds.KindResult;
 
 /** Shows what each team is due: its template with its own values laid over it. */
 public final class TeamsCommand extends Command {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/config/ConfigFile.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/config/ConfigFile.java
@@ -16,8 +16,8 @@
 import org.sardinelift.core.catalog.ConfigProblem;
 import org.sardinelift.core.catalog.ConfigRef;
 import org.sardinelift.ctl.Json;
-import org.sardinelift.platform.kinds.ConfigCodec;
-import org.sardinelift.platform.kinds.KindResult;
+import org.sardinelift.objects.kinds.ConfigCodec;
+import org.sardinelift.objects.kinds.KindResult;
 
 /**
  * A configuration file: {@code {"objects": [{"kind", "name", "value"}, ...]}} or one such object,
--- a/sardinectl/src/main/java/org/sardinelift/ctl/config/ConfigWriter.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/config/ConfigWriter.java
@@ -6,12 +6,12 @@
 import org.sardinelift.core.catalog.ConfigRef;
 import org.sardinelift.ctl.Json;
 import org.sardinelift.ctl.config.WriteOutcome.Overtaken.Compared;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WriteResult;
-import org.sardinelift.platform.kinds.ConfigCodec;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WriteResult;
+import org.sardinelift.objects.kinds.ConfigCodec;
 
 /**
  * Writes objects over the version that was read. Each write leaves a mark of its own, so that a
--- a/sardinectl/src/main/java/org/sardinelift/ctl/config/ObjectDiff.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/config/ObjectDiff.java
@@ -7,7 +7,7 @@
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.sardinelift.ctl.Json;
-import org.sardinelift.platform.kinds.ConfigCodec;
+import org.sardinelift.objects.kinds.ConfigCodec;
 
 /**
  * What differs between two values of one object; the writers' marks don't count.
--- a/sardinectl/src/main/java/org/sardinelift/ctl/config/StoredConfig.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/config/StoredConfig.java
@@ -17,11 +17,11 @@
 import org.sardinelift.core.catalog.ConfigRef;
 import org.sardinelift.core.catalog.TeamSpec;
 import org.sardinelift.ctl.Json;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.kinds.ConfigCodec;
-import org.sardinelift.platform.kinds.KindResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.kinds.ConfigCodec;
+import org.sardinelift.objects.kinds.KindResult;
 
 /** Configuration as the platform holds it. */
 public final class StoredConfig {
--- a/sardinectl/src/main/java/org/sardinelift/ctl/http/Connections.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/http/Connections.java
@@ -18,8 +18,8 @@
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.http.HttpFailure;
-import org.sardinelift.platform.HttpObjectStore;
-import org.sardinelift.platform.ObjectStore;
+import org.sardinelift.objects.HttpObjectStore;
+import org.sardinelift.objects.ObjectStore;
 
 /** Calls of one run of the program. */
 public final class Connections implements AutoCloseable {
--- a/sardinectl/src/test/java/org/sardinelift/ctl/config/ConfigWriterTest.java
+++ b/sardinectl/src/test/java/org/sardinelift/ctl/config/ConfigWriterTest.java
@@ -15,9 +15,9 @@
 import org.sardinelift.core.catalog.ConfigKind;
 import org.sardinelift.core.catalog.ConfigRef;
 import org.sardinelift.ctl.Json;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
 import org.sardinelift.testkit.FakeObjectStore;
 
 final class ConfigWriterTest {
--- a/sardinelift/src/test/java/org/sardinelift/server/RoleDependenciesTest.java
+++ b/sardinelift/src/test/java/org/sardinelift/server/RoleDependenciesTest.java
@@ -21,5 +21,5 @@
                     .should()
                     .dependOnClassesThat()
                     .resideInAnyPackage(
-                            "org.sardinelift.platform..", "org.sardinelift.http..", "io.netty..");
+                            "org.sardinelift.objects..", "org.sardinelift.http..", "io.netty..");
 }
--- a/standins/src/test/java/org/sardinelift/standins/platform/HttpObjectStoreTest.java
+++ b/standins/src/test/java/org/sardinelift/standins/platform/HttpObjectStoreTest.java
@@ -18,14 +18,14 @@
 import org.junit.jupiter.api.Test;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
-import org.sardinelift.platform.HttpObjectStore;
-import org.sardinelift.platform.InstancesResult;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.WatchResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.HttpObjectStore;
+import org.sardinelift.objects.InstancesResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.WatchResult;
+import org.sardinelift.objects.WriteResult;
 import org.sardinelift.standins.EventLoops;
 
 /** The platform's client against the platform's stand-in, with the platform's faults. */
--- a/testkit/src/main/java/org/sardinelift/testkit/FakeObjectStore.java
+++ b/testkit/src/main/java/org/sardinelift/testkit/FakeObjectStore.java
@@ -9,14 +9,14 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.sardinelift.platform.InstancesResult;
-import org.sardinelift.platform.ListResult;
-import org.sardinelift.platform.ObjectKey;
-import org.sardinelift.platform.ObjectStore;
-import org.sardinelift.platform.ReadResult;
-import org.sardinelift.platform.StoredObject;
-import org.sardinelift.platform.WatchResult;
-import org.sardinelift.platform.WriteResult;
+import org.sardinelift.objects.InstancesResult;
+import org.sardinelift.objects.ListResult;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WatchResult;
+import org.sardinelift.objects.WriteResult;
 
 /**
  * The platform's object API in memory, answering on the calling thread. Faults are set by the test:
