--- a/companion/src/main/java/org/sardinelift/companion/target/TargetLink.java
+++ b/companion/src/main/java/org/sardinelift/companion/target/TargetLink.java
@@ -114,7 +114,7 @@
     }
 
     private HttpCall call(String method, String uri, Map<String, String> headers, byte[] body) {
-        return new HttpCall(
+        return HttpCall.of(
                 settings.host(), settings.port(), method, uri, headers, body, settings.silence());
     }
 
--- a/companion/src/main/java/org/sardinelift/companion/target/TargetOrders.java
+++ b/companion/src/main/java/org/sardinelift/companion/target/TargetOrders.java
@@ -94,7 +94,7 @@
     }
 
     private HttpCall call(String method, String uri, Map<String, String> headers, byte[] body) {
-        return new HttpCall(
+        return HttpCall.of(
                 settings.host(),
                 settings.port(),
                 method,
--- a/companion/src/main/java/org/sardinelift/companion/target/TargetProbe.java
+++ b/companion/src/main/java/org/sardinelift/companion/target/TargetProbe.java
@@ -57,7 +57,7 @@
         }
         asking = true;
         HttpCall call =
-                new HttpCall(
+                HttpCall.of(
                         settings.host(),
                         settings.port(),
                         "GET",
--- /dev/null
+++ b/core/src/main/java/org/sardinelift/core/peer/Peer.java
@@ -0,0 +1,64 @@
+package org.sardinelift.core.peer;
+
+import java.util.Set;
+
+/**
+ * Another instance, as its last report shows it.
+ *
+ * @param name name of the instance
+ * @param host IP address
+ * @param port port for reports and internal calls
+ * @param zone availability zone, empty before the first report
+ * @param role what it does, as far as it is known
+ * @param incarnation its life; 0 before the first report
+ * @param sequence number of its last report
+ * @param planVersion version of the configuration that it serves by
+ * @param leaving whether it is about to stop
+ * @param jobs hashes of the jobs that it runs
+ * @param heardAt when its last report came, nanoseconds
+ * @param heard whether any report has come
+ */
+public record Peer(
+        String name,
+        String host,
+        int port,
+        String zone,
+        PeerRole role,
+        long incarnation,
+        long sequence,
+        long planVersion,
+        boolean leaving,
+        Set<Long> jobs,
+        long heardAt,
+        boolean heard) {
+
+    /**
+     * An instance of which only the address is known.
+     *
+     * @param name its name
+     * @param host IP address
+     * @param port port
+     * @param now the time, nanoseconds
+     * @return the peer
+     */
+    public static Peer unheard(String name, String host, int port, long now) {
+        return new Peer(
+                name, host, port, "", PeerRole.GATEWAY, 0, 0, 0, false, Set.of(), now, false);
+    }
+
+    Peer at(String newHost, int newPort) {
+        return new Peer(
+                name,
+                newHost,
+                newPort,
+                zone,
+                role,
+                incarnation,
+                sequence,
+                planVersion,
+                leaving,
+                jobs,
+                heardAt,
+                heard);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
@@ -0,0 +1,181 @@
+package org.sardinelift.core.peer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * The instances known to this one and which of them are live. Times are nanoseconds of a monotonic
+ * clock. Not safe for use by several threads at once.
+ */
+public final class PeerBook {
+    private final String self;
+    private final long silenceNanos;
+    private final long forgetNanos;
+    private final Map<String, Peer> peers = new HashMap<>();
+
+    private PeerBook(String self, Duration silence, Duration forget) {
+        this.self = self;
+        this.silenceNanos = silence.toNanos();
+        this.forgetNanos = forget.toNanos();
+    }
+
+    /**
+     * A book without peers.
+     *
+     * @param self name of this instance
+     * @param silence time without a report after which a peer counts as lost
+     * @param forget time without a report after which a peer is forgotten
+     * @return the book
+     */
+    public static PeerBook create(String self, Duration silence, Duration forget) {
+        return new PeerBook(self, silence, forget);
+    }
+
+    /**
+     * The address of an instance was learned from elsewhere than a report of its own.
+     *
+     * @param name its name
+     * @param host IP address
+     * @param port port
+     * @param now the time
+     * @return whether it was unknown
+     */
+    public boolean onAddress(String name, String host, int port, long now) {
+        if (name.equals(self)) {
+            return false;
+        }
+        Peer known = peers.get(name);
+        boolean lost = known != null && !isLive(known, now);
+        if (known == null) {
+            peers.put(name, Peer.unheard(name, host, port, now));
+        } else if (lost) {
+            peers.put(name, known.at(host, port));
+        }
+        return known == null;
+    }
+
+    /** What a report told. */
+    public enum News {
+        /** It is older than one that came before. */
+        STALE,
+        /** A known peer goes on. */
+        KNOWN,
+        /** The peer was unknown, lost, or has started anew. */
+        JOINED
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param report the peer as it shows itself
+     * @return what it told
+     */
+    public News onReport(Peer report) {
+        if (report.name().equals(self)) {
+            return News.STALE;
+        }
+        Peer known = peers.get(report.name());
+        if (known != null && known.heard() && isOlder(report, known)) {
+            return News.STALE;
+        }
+        peers.put(report.name(), report);
+        boolean joined =
+                known == null
+                        || !known.heard()
+                        || known.incarnation() != report.incarnation()
+                        || report.heardAt() - known.heardAt() >= silenceNanos;
+        return joined ? News.JOINED : News.KNOWN;
+    }
+
+    private static boolean isOlder(Peer report, Peer known) {
+        return report.incarnation() < known.incarnation()
+                || report.incarnation() == known.incarnation()
+                        && report.sequence() <= known.sequence();
+    }
+
+    /**
+     * Forgets the peers that have been silent for long.
+     *
+     * @param now the time
+     * @return names of those forgotten
+     */
+    public List<String> forgetSilent(long now) {
+        List<String> gone =
+                peers.values().stream()
+                        .filter(peer -> now - peer.heardAt() >= forgetNanos)
+                        .map(Peer::name)
+                        .toList();
+        gone.forEach(peers::remove);
+        return gone;
+    }
+
+    /**
+     * Whether a peer has reported lately.
+     *
+     * @param peer the peer
+     * @param now the time
+     * @return true within the silence bound
+     */
+    public boolean isLive(Peer peer, long now) {
+        return peer.heard() && now - peer.heardAt() < silenceNanos;
+    }
+
+    /**
+     * All peers, live or not.
+     *
+     * @return the peers
+     */
+    public Collection<Peer> all() {
+        return peers.values();
+    }
+
+    /**
+     * The live peers of a role that aren't about to stop.
+     *
+     * @param role the role
+     * @param now the time
+     * @return the peers
+     */
+    public Stream<Peer> live(PeerRole role, long now) {
+        return peers.values().stream()
+                .filter(peer -> peer.role() == role && !peer.leaving() && isLive(peer, now));
+    }
+
+    /**
+     * Peers to ask, in the order in which they are to be tried: those of a zone first, each group
+     * in an order of its own for each draw.
+     *
+     * @param role the role
+     * @param zone the zone preferred
+     * @param draw number spread evenly over the calls
+     * @param now the time
+     * @return the peers
+     */
+    public List<Peer> inOrder(PeerRole role, String zone, long draw, long now) {
+        List<Peer> order = new ArrayList<>(live(role, now).toList());
+        order.sort(
+                Comparator.comparing((Peer peer) -> !peer.zone().equals(zone))
+                        .thenComparingLong(peer -> (peer.name().hashCode() * 31L) ^ draw));
+        return order;
+    }
+
+    /**
+     * The live peer with the newest configuration, where it is newer than a version.
+     *
+     * @param version the version held
+     * @param now the time
+     * @return the peer, or empty
+     */
+    public Optional<Peer> withNewerPlan(long version, long now) {
+        return peers.values().stream()
+                .filter(peer -> isLive(peer, now) && peer.planVersion() > version)
+                .max(Comparator.comparingLong(Peer::planVersion));
+    }
+}
--- a/entry/src/test/java/org/sardinelift/entry/MalformedRequestTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/MalformedRequestTest.java
@@ -102,14 +102,15 @@
         HttpAnswer answer =
                 fixture.client
                         .call(
-                                HttpCall.of(
+                                new HttpCall(
                                         call.host(),
                                         call.port(),
                                         call.method(),
                                         call.uri(),
                                         call.headers(),
                                         body,
-                                        Duration.ofSeconds(10)))
+                                        Duration.ofSeconds(10),
+                                        false))
                         .get(20, TimeUnit.SECONDS);
         assertProblem(answer, 400, "malformed_request");
     }
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -0,0 +1,214 @@
+package org.sardinelift.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.BindException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.core.plan.TargetEntry;
+import org.sardinelift.gateway.feed.InstanceFeed;
+import org.sardinelift.gateway.feed.PeerSnapshots;
+import org.sardinelift.gateway.feed.PlanFeed;
+import org.sardinelift.gateway.feed.StoreContact;
+import org.sardinelift.gateway.feed.TargetFeed;
+import org.sardinelift.gateway.peer.PeerNetwork;
+import org.sardinelift.http.HttpClient;
+import org.sardinelift.http.HttpExchange;
+import org.sardinelift.http.HttpHandler;
+import org.sardinelift.http.HttpLimits;
+import org.sardinelift.http.HttpServer;
+import org.sardinelift.objects.CallBudget;
+import org.sardinelift.objects.HttpObjectStore;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.PacedObjectStore;
+import org.sardinelift.runtime.ControlThread;
+import org.sardinelift.runtime.Metrics;
+
+/**
+ * What gateways and workers have in common: one thread for traffic and one for control, the store,
+ * the feeds, the other instances and the internal port.
+ */
+final class Node implements AutoCloseable {
+    /** A peer in another zone answers a new connection within a few milliseconds. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+    /** Idle connections to the store and to peers; theirs close later. */
+    private static final Duration CONNECTION_IDLE = Duration.ofSeconds(2);
+
+    private static final int MAX_QUEUED_STORE_CALLS = 2_000;
+    private static final String METRICS_PATH = "/metrics";
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private final NodeSettings settings;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final ControlThread control;
+    private final HttpClient client;
+    private final StoreContact contact = new StoreContact();
+    private final ObjectStore store;
+    private final PlanFeed plans;
+    private final TargetFeed targets;
+    private final PeerNetwork network;
+    private final PeerSnapshots snapshots;
+    private final InstanceFeed instances;
+    private Listener listener = new Listener() {};
+
+    /** Takes what the feeds bring; on the event loop. */
+    interface Listener {
+        /**
+         * A newer configuration is in force.
+         *
+         * @param plan the configuration
+         */
+        default void onPlan(ServingPlan plan) {}
+
+        /**
+         * The targets were read.
+         *
+         * @param entries entries by name
+         */
+        default void onTargets(Map<String, TargetEntry> entries) {}
+    }
+
+    private Node(NodeSettings settings, PeerRole role, Adapter adapter) throws BindException {
+        this.settings = settings;
+        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        this.loop = (EventLoop) group.next();
+        this.control = ControlThread.start("control");
+        this.client = HttpClient.createPlaintext(group, CONNECT_TIMEOUT, CONNECTION_IDLE);
+        this.store = store(adapter);
+        this.plans = PlanFeed.of(adapter, store, control, contact, this::onPlan);
+        this.targets = TargetFeed.of(adapter, store, control, contact, this::onTargets);
+        this.network = PeerNetwork.bind(settings, role, loop, plans::version);
+        this.snapshots = PeerSnapshots.of(network, client, loop, control, plans, targets);
+        this.instances =
+                InstanceFeed.of(
+                        settings.instance(),
+                        role,
+                        settings.internal(),
+                        store,
+                        control,
+                        contact,
+                        (name, peerRole, address) ->
+                                loop.execute(() -> network.onInstance(name, peerRole, address)));
+    }
+
+    static Node create(NodeSettings settings, PeerRole role, Adapter adapter) throws BindException {
+        return new Node(settings, role, adapter);
+    }
+
+    private ObjectStore store(Adapter adapter) {
+        ObjectStore http =
+                HttpObjectStore.create(
+                        client,
+                        settings.store().host(),
+                        settings.store().port(),
+                        settings.storeTimeout(),
+                        adapter.objectDialect());
+        int rate = settings.storeCallsPerSecond();
+        return PacedObjectStore.over(
+                http, new CallBudget(rate, rate, MAX_QUEUED_STORE_CALLS), loop);
+    }
+
+    void start(Listener taking) {
+        listener = taking;
+        plans.start();
+        targets.start();
+        instances.start();
+        snapshots.start();
+        network.start();
+    }
+
+    private void onPlan(ServingPlan plan) {
+        loop.execute(
+                () -> {
+                    network.quota().plan(plan.teams(), System.nanoTime());
+                    network.changed();
+                    listener.onPlan(plan);
+                });
+    }
+
+    private void onTargets(Map<String, TargetEntry> entries) {
+        loop.execute(() -> listener.onTargets(entries));
+    }
+
+    /** Serves the internal port: snapshots, metrics, and what the role adds. */
+    HttpServer serveInternal(HttpHandler role) throws BindException {
+        return HttpServer.start(
+                group,
+                settings.internal().host(),
+                settings.internal().port(),
+                HttpLimits.defaults(),
+                null,
+                exchange -> {
+                    if (!snapshots.handle(exchange) && !handleMetrics(exchange)) {
+                        role.handle(exchange);
+                    }
+                });
+    }
+
+    private static boolean handleMetrics(HttpExchange exchange) {
+        if (!exchange.path().equals(METRICS_PATH)) {
+            return false;
+        }
+        exchange.respond(OK, Map.of("content-type", Metrics.CONTENT_TYPE), Metrics.text());
+        return true;
+    }
+
+    static void refuseUnknown(HttpExchange exchange) {
+        exchange.respondJson(NOT_FOUND, "{\"detail\":\"no such call\"}");
+    }
+
+    NodeSettings settings() {
+        return settings;
+    }
+
+    EventLoopGroup group() {
+        return group;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    ControlThread control() {
+        return control;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    StoreContact contact() {
+        return contact;
+    }
+
+    ObjectStore store() {
+        return store;
+    }
+
+    PlanFeed plans() {
+        return plans;
+    }
+
+    TargetFeed targets() {
+        return targets;
+    }
+
+    PeerNetwork network() {
+        return network;
+    }
+
+    @Override
+    public void close() {
+        network.close();
+        control.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/NodeSettings.java
@@ -0,0 +1,55 @@
+package org.sardinelift.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import org.sardinelift.settings.SettingsNode;
+
+/**
+ * Settings that gateways and workers have in common.
+ *
+ * @param instance name of this instance, kept over restarts
+ * @param zone availability zone
+ * @param internal address for reports (UDP) and internal calls (TCP), the same port on all
+ *     instances
+ * @param seeds hosts of some other instances, of use where the store is away
+ * @param store address of the platform's store
+ * @param storeTimeout longest silence of the store before a call is given up
+ * @param storeCallsPerSecond calls of the store that this instance makes at most
+ * @param grace time between the request to stop and the kill
+ */
+public record NodeSettings(
+        String instance,
+        String zone,
+        Endpoint internal,
+        List<String> seeds,
+        Endpoint store,
+        Duration storeTimeout,
+        int storeCallsPerSecond,
+        Duration grace) {
+
+    /**
+     * Reads the settings.
+     *
+     * @param node root of the settings file
+     * @return the settings
+     */
+    public static NodeSettings read(SettingsNode node) {
+        SettingsNode store = node.object("store");
+        return new NodeSettings(
+                node.text("instance"),
+                node.text("zone"),
+                Endpoint.read(node, "internal"),
+                node.texts("seeds").stream().map(NodeSettings::host).toList(),
+                Endpoint.read(store, "address"),
+                // Over twice the answer time of a store that is sixty times slower than usual.
+                store.millis("timeoutMs", 800),
+                // A tenth of a small store's reads: a dozen instances stay within it together.
+                store.integer("callsPerSecond", 60, 1, 100_000),
+                node.millis("graceMs", 8_000));
+    }
+
+    private static String host(String address) {
+        int colon = address.lastIndexOf(':');
+        return colon < 0 ? address : address.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -0,0 +1,152 @@
+package org.sardinelift.gateway;
+
+import java.net.BindException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.core.plan.TargetEntry;
+import org.sardinelift.gateway.call.TargetTable;
+import org.sardinelift.gateway.job.JobWorker;
+import org.sardinelift.http.HttpClient;
+import org.sardinelift.http.HttpServer;
+import org.sardinelift.runtime.log.Event;
+
+/** A running worker: keeps batch jobs in the store and runs their items. */
+public final class WorkerProcess implements AutoCloseable {
+    private static final Duration TARGET_CONNECT_TIMEOUT = Duration.ofMillis(250);
+    private static final Duration USUAL_FIRST_EVENT = Duration.ofMillis(55);
+    private static final Duration USUAL_CALL = Duration.ofMillis(750);
+
+    /** Time for results on their way to the store, and for peers to take the jobs. */
+    private static final Duration HAND_OVER = Duration.ofMillis(1_500);
+
+    private static final long STEP_MS = 20;
+
+    private final WorkerSettings settings;
+    private final Node node;
+    private final JobWorker worker;
+    private final HttpServer internal;
+    private final CompletableFuture<Void> drainAsked = new CompletableFuture<>();
+
+    private WorkerProcess(WorkerSettings settings, Adapter adapter) throws BindException {
+        this.settings = settings;
+        this.node = Node.create(settings.node(), PeerRole.WORKER, adapter);
+        HttpClient targetClient =
+                HttpClient.createPlaintext(
+                        node.group(), TARGET_CONNECT_TIMEOUT, settings.connectionIdle());
+        TargetTable table =
+                TargetTable.create(
+                        node.network().board(),
+                        targetClient,
+                        node.loop(),
+                        adapter.probePath(),
+                        USUAL_FIRST_EVENT,
+                        USUAL_CALL);
+        this.worker =
+                JobWorker.create(
+                        settings.node(),
+                        adapter,
+                        node.loop(),
+                        node.control(),
+                        targetClient,
+                        node.client(),
+                        node.store(),
+                        node.contact(),
+                        table,
+                        node.network(),
+                        node.plans(),
+                        settings.keepJobs());
+        this.internal =
+                node.serveInternal(
+                        exchange -> {
+                            if (!worker.handle(exchange)) {
+                                Node.refuseUnknown(exchange);
+                            }
+                        });
+        node.start(
+                new Node.Listener() {
+                    @Override
+                    public void onPlan(ServingPlan plan) {
+                        worker.onChanged();
+                    }
+
+                    @Override
+                    public void onTargets(Map<String, TargetEntry> entries) {
+                        table.update(entries);
+                        worker.onChanged();
+                    }
+                });
+        worker.start();
+    }
+
+    /**
+     * Starts a worker.
+     *
+     * @param settings its settings
+     * @param adapter translates for the platform
+     * @return the running worker
+     * @throws BindException where a port is taken; choose another in the settings
+     */
+    public static WorkerProcess start(WorkerSettings settings, Adapter adapter)
+            throws BindException {
+        return new WorkerProcess(settings, adapter);
+    }
+
+    /**
+     * One line that says that the process runs and where it listens.
+     *
+     * @return machine-readable line
+     */
+    public String readyLine() {
+        return "{\"event\":\"started\",\"role\":\"worker\",\"instance\":\""
+                + settings.node().instance()
+                + "\",\"internal\":"
+                + internal.port()
+                + "}";
+    }
+
+    /**
+     * Completes once an operator asks for a drain by other means than a signal.
+     *
+     * @return never completes by itself
+     */
+    public CompletableFuture<Void> drainAsked() {
+        return drainAsked;
+    }
+
+    /** Hands the jobs over and records what has ended. */
+    public void drain() {
+        long startedAt = System.nanoTime();
+        Event.of("process.stopping").info();
+        node.loop()
+                .execute(
+                        () -> {
+                            node.network().leave();
+                            worker.leave();
+                        });
+        long latest = startedAt + HAND_OVER.toNanos();
+        do {
+            sleep();
+        } while (!worker.isIdle() && System.nanoTime() - latest < 0);
+        Event.of("process.stopped")
+                .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt))
+                .info();
+    }
+
+    private static void sleep() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(STEP_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        internal.close();
+        node.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerSettings.java
@@ -0,0 +1,29 @@
+package org.sardinelift.gateway;
+
+import java.time.Duration;
+import org.sardinelift.settings.SettingsNode;
+
+/**
+ * Settings of a worker.
+ *
+ * @param node what it has in common with gateways
+ * @param keepJobs time after its submission for which a closed job is kept
+ * @param connectionIdle longest idle time of a connection to a target that is used again
+ */
+public record WorkerSettings(NodeSettings node, Duration keepJobs, Duration connectionIdle) {
+
+    /**
+     * Reads the settings.
+     *
+     * @param node root of the settings file
+     * @return the settings
+     */
+    public static WorkerSettings read(SettingsNode node) {
+        return new WorkerSettings(
+                NodeSettings.read(node),
+                // Callers may read results for two minutes after the submission; clocks differ.
+                node.millis("keepJobsMs", 180_000),
+                // Well under the idle time after which targets close connections.
+                node.millis("connectionIdleMs", 2_000));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/Forwarding.java
@@ -0,0 +1,56 @@
+package org.sardinelift.gateway.call;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import org.sardinelift.core.load.Placement;
+import org.sardinelift.core.load.ReturnTimes;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.core.poison.DeathTally;
+import org.sardinelift.gateway.GatewaySettings;
+import org.sardinelift.gateway.peer.PeerNetwork;
+import org.sardinelift.http.HttpClient;
+
+/**
+ * What all calls of a gateway have in common; on the event loop.
+ *
+ * @param settings bounds
+ * @param loop the event loop of traffic
+ * @param client sends calls to targets
+ * @param table the targets
+ * @param network the other instances and the loads that they report
+ * @param placement chooses targets
+ * @param returns tells refused callers when to come back
+ * @param deaths requests that were there when targets died
+ * @param headers which headers are passed on
+ */
+record Forwarding(
+        GatewaySettings settings,
+        EventLoop loop,
+        HttpClient client,
+        TargetTable table,
+        PeerNetwork network,
+        Placement placement,
+        ReturnTimes returns,
+        DeathTally deaths,
+        ForwardedHeaders headers) {
+
+    long now() {
+        return System.nanoTime();
+    }
+
+    /** Expected time between two slots that become free for callers of this gateway. */
+    Duration slotInterval(long now) {
+        double slotsPerNano =
+                table.all().stream()
+                        .filter(target -> target.health().isUsable(now))
+                        .mapToDouble(
+                                target ->
+                                        (double) target.entry().slots()
+                                                / Math.max(1, target.health().callNanos()))
+                        .sum();
+        long gateways = 1 + network.book().live(PeerRole.GATEWAY, now).count();
+        return slotsPerNano == 0
+                ? settings.callTime()
+                : Duration.ofNanos((long) (gateways / slotsPerNano));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
@@ -0,0 +1,51 @@
+package org.sardinelift.gateway.call;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+
+/** Metrics of the calls of a gateway. */
+final class GatewayMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private static final Counter CALLS =
+            Counter.builder()
+                    .name("sardinelift_gateway_calls_total")
+                    .help("Calls ended, by route and what the caller got")
+                    .labelNames("route", "result")
+                    .register();
+    private static final Counter ATTEMPTS =
+            Counter.builder()
+                    .name("sardinelift_gateway_attempts_total")
+                    .help("Attempts at targets, by how they ended")
+                    .labelNames("end")
+                    .register();
+    private static final Histogram FIRST_EVENT =
+            Histogram.builder()
+                    .name("sardinelift_gateway_first_event_seconds")
+                    .help("Time from a call's arrival to its first event")
+                    .labelNames("route")
+                    .classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5)
+                    .register();
+    private static final Histogram WHOLE =
+            Histogram.builder()
+                    .name("sardinelift_gateway_call_seconds")
+                    .help("Time from a call's arrival to the end of its answer")
+                    .labelNames("route")
+                    .classicUpperBounds(0.1, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5)
+                    .register();
+
+    private GatewayMetrics() {}
+
+    static void ended(String route, String result, long nanos) {
+        CALLS.labelValues(route, result).inc();
+        WHOLE.labelValues(route).observe(nanos / NANOS_PER_SECOND);
+    }
+
+    static void attempt(String end) {
+        ATTEMPTS.labelValues(end).inc();
+    }
+
+    static void firstEvent(String route, long nanos) {
+        FIRST_EVENT.labelValues(route).observe(nanos / NANOS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
@@ -0,0 +1,158 @@
+package org.sardinelift.gateway.call;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.peer.Peer;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.core.plan.RoutePlan;
+import org.sardinelift.gateway.call.Refusals.Kind;
+import org.sardinelift.gateway.job.JobInterface.JobCall;
+import org.sardinelift.gateway.job.JobPaths;
+import org.sardinelift.gateway.peer.PeerNetwork;
+import org.sardinelift.http.HttpAnswer;
+import org.sardinelift.http.HttpCall;
+import org.sardinelift.http.HttpClient;
+import org.sardinelift.http.HttpExchange;
+import org.sardinelift.http.HttpFailure;
+import org.sardinelift.runtime.log.Event;
+
+/**
+ * Hands callers' calls about batch jobs to workers, one after the other until one answers: each of
+ * these calls may be repeated. On the event loop.
+ */
+final class JobProxy {
+    /** A worker stores a job in a few calls of the store; twice the time of a slow one. */
+    private static final Duration SUBMIT_TIMEOUT = Duration.ofMillis(900);
+
+    private static final Duration READ_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int OUTCOME_UNKNOWN = 504;
+
+    private final PeerNetwork network;
+    private final HttpClient client;
+    private final String zone;
+    private long draw;
+
+    JobProxy(PeerNetwork network, HttpClient client, String zone) {
+        this.network = network;
+        this.client = client;
+        this.zone = zone;
+    }
+
+    void submit(HttpExchange exchange, String job, String team, RoutePlan route) {
+        String host = exchange.header("host") == null ? "" : exchange.header("host");
+        String uri = JobPaths.submit(job, team, route.name(), host);
+        new Pass(exchange, job, "POST", uri, exchange.body(), SUBMIT_TIMEOUT).next();
+    }
+
+    void forward(HttpExchange exchange, JobCall call, String team) {
+        long waitMs = call instanceof JobCall.Results results ? results.waitMs() : 0;
+        String method = call instanceof JobCall.End ? "DELETE" : "GET";
+        Duration timeout = READ_TIMEOUT.plusMillis(waitMs);
+        new Pass(exchange, call.job(), method, JobPaths.of(call, team), new byte[0], timeout)
+                .next();
+    }
+
+    /** One call on its way through the workers. */
+    private final class Pass {
+        private final HttpExchange exchange;
+        private final String job;
+        private final String method;
+        private final String uri;
+        private final byte[] body;
+        private final Duration timeout;
+        private final Iterator<Peer> workers;
+        private boolean mayBeStored;
+        private int asked;
+
+        Pass(
+                HttpExchange exchange,
+                String job,
+                String method,
+                String uri,
+                byte[] body,
+                Duration timeout) {
+            this.exchange = exchange;
+            this.job = job;
+            this.method = method;
+            this.uri = uri;
+            this.body = body;
+            this.timeout = timeout;
+            this.workers =
+                    network.book()
+                            .inOrder(PeerRole.WORKER, zone, draw++, System.nanoTime())
+                            .iterator();
+        }
+
+        void next() {
+            if (!exchange.open()) {
+                return;
+            }
+            if (!workers.hasNext()) {
+                refuse();
+                return;
+            }
+            Peer worker = workers.next();
+            asked++;
+            HttpCall call =
+                    HttpCall.of(worker.host(), worker.port(), method, uri, Map.of(), body, timeout);
+            client.call(call).whenComplete((answer, error) -> onAnswer(worker, answer, error));
+        }
+
+        private void refuse() {
+            Kind kind = mayBeStored ? Kind.WORKER_FAILED : Kind.NO_WORKER;
+            Refusals.send(
+                    exchange,
+                    kind,
+                    job,
+                    method + ": " + asked + " workers asked",
+                    mayBeStored ? null : COME_BACK);
+        }
+
+        private void onAnswer(Peer worker, @Nullable HttpAnswer answer, @Nullable Throwable error) {
+            if (answer == null) {
+                mayBeStored |= mayHaveArrived(error);
+                log(worker, 0, String.valueOf(error));
+                next();
+            } else if (answer.status() == UNAVAILABLE || answer.status() == OUTCOME_UNKNOWN) {
+                mayBeStored |= answer.status() == OUTCOME_UNKNOWN;
+                log(worker, answer.status(), answer.text());
+                next();
+            } else {
+                if (!method.equals("GET") || answer.status() != OK) {
+                    log(worker, answer.status(), null);
+                }
+                exchange.respond(
+                        answer.status(),
+                        List.of(Map.entry("Content-Type", contentType(answer))),
+                        answer.body());
+            }
+        }
+
+        private void log(Peer worker, int status, @Nullable String reason) {
+            Event.of("job.call")
+                    .with("job", job)
+                    .with("method", method)
+                    .with("worker", worker.name())
+                    .with("status", status)
+                    .with("reason", reason)
+                    .info();
+        }
+    }
+
+    private static String contentType(HttpAnswer answer) {
+        String type = answer.header("content-type");
+        return type == null ? "application/json" : type;
+    }
+
+    private static boolean mayHaveArrived(@Nullable Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        return !(cause instanceof HttpFailure failure) || failure.mayHaveRun();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/Refusals.java
@@ -0,0 +1,96 @@
+package org.sardinelift.gateway.call;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.http.HttpExchange;
+import org.sardinelift.runtime.log.Event;
+
+/** Answers that the gateway gives itself. Each says what was wrong, in JSON. */
+final class Refusals {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private Refusals() {}
+
+    /** An answer of the gateway's own and what it promises. */
+    enum Kind {
+        /** No route takes the call. */
+        NO_ROUTE(404, "no_route", "not_run"),
+        /** The key is missing or nobody's. */
+        BAD_KEY(401, "bad_key", "not_run"),
+        /** The team has used up its rate and burst. */
+        OVER_RATE(429, "over_rate", "not_run"),
+        /** No target can take the call in time. */
+        NO_ROOM(503, "no_room", "not_run"),
+        /** There is no target at all. */
+        NO_TARGET(503, "no_target", "not_run"),
+        /** This gateway has no configuration yet. */
+        NOT_READY(503, "not_ready", "not_run"),
+        /** Every target that took the call failed, or may have run it. */
+        TARGET_FAILED(502, "target_failed", "unknown"),
+        /** The call ran out of time. */
+        TIMED_OUT(504, "timed_out", "unknown"),
+        /** The request crashes the targets that run it. */
+        CRASHES_TARGETS(500, "crashes_targets", "not_run"),
+        /** No worker can take a call about a batch job now. */
+        NO_WORKER(503, "no_worker", "not_run"),
+        /** A worker took a call about a batch job and didn't answer. */
+        WORKER_FAILED(504, "worker_failed", "unknown");
+
+        private final int status;
+        private final String label;
+        private final String outcome;
+
+        Kind(int status, String label, String outcome) {
+            this.status = status;
+            this.label = label;
+            this.outcome = outcome;
+        }
+
+        String label() {
+            return label;
+        }
+
+        int status() {
+            return status;
+        }
+    }
+
+    static void send(HttpExchange exchange, Kind kind, String callId, String detail) {
+        send(exchange, kind, callId, detail, null);
+    }
+
+    static void send(
+            HttpExchange exchange,
+            Kind kind,
+            String callId,
+            String detail,
+            @Nullable Duration retryAfter) {
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        headers.add(Map.entry("Content-Type", "application/problem+json"));
+        if (retryAfter != null) {
+            double seconds = retryAfter.toNanos() / NANOS_PER_SECOND;
+            headers.add(Map.entry("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)));
+        }
+        String body =
+                "{\"kind\":\""
+                        + kind.label
+                        + "\",\"outcome\":\""
+                        + kind.outcome
+                        + "\",\"detail\":\""
+                        + detail.replace('"', '\'').replace('\\', '/')
+                        + "\"}";
+        exchange.respond(kind.status, headers, body.getBytes(StandardCharsets.UTF_8));
+        Event.of("call.refused")
+                .with("call", callId)
+                .with("status", kind.status)
+                .with("kind", kind.label)
+                .with("detail", detail)
+                .with("retry_after_ms", retryAfter == null ? -1 : retryAfter.toMillis())
+                .info();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/package-info.java
@@ -0,0 +1,5 @@
+/** Calls from their arrival to their end. */
+@NullMarked
+package org.sardinelift.gateway.call;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
@@ -0,0 +1,171 @@
+package org.sardinelift.gateway.feed;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.gateway.Adapter;
+import org.sardinelift.gateway.Adapter.Decoded;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
+import org.sardinelift.objects.WatchResult;
+import org.sardinelift.runtime.ControlThread;
+import org.sardinelift.runtime.log.Event;
+
+/**
+ * The configuration in force, read from the store and, where the store is away, from peers. Within
+ * one life of the process it only goes forward. Works on the control thread.
+ */
+public final class PlanFeed {
+    /** Short enough that a watch whose connection fell silent is noticed within the bound. */
+    private static final Duration WATCH_WAIT = Duration.ofMillis(2_000);
+
+    private static final Duration RETRY = Duration.ofMillis(250);
+    private static final Duration PAUSE = Duration.ofMillis(20);
+
+    private final Adapter adapter;
+    private final ObjectStore store;
+    private final ControlThread control;
+    private final StoreContact contact;
+    private final Consumer<ServingPlan> listener;
+    private volatile @Nullable Held held;
+
+    /**
+     * A configuration as it was stored.
+     *
+     * @param plan decoded
+     * @param value as stored
+     */
+    public record Held(ServingPlan plan, String value) {}
+
+    private PlanFeed(
+            Adapter adapter,
+            ObjectStore store,
+            ControlThread control,
+            StoreContact contact,
+            Consumer<ServingPlan> listener) {
+        this.adapter = adapter;
+        this.store = store;
+        this.control = control;
+        this.contact = contact;
+        this.listener = listener;
+    }
+
+    /**
+     * Makes a feed.
+     *
+     * @param adapter reads the stored value
+     * @param store the platform's store
+     * @param control the control thread
+     * @param contact notes whether the store answers
+     * @param listener takes each newer plan, on the control thread
+     * @return the feed, not started
+     */
+    public static PlanFeed of(
+            Adapter adapter,
+            ObjectStore store,
+            ControlThread control,
+            StoreContact contact,
+            Consumer<ServingPlan> listener) {
+        return new PlanFeed(adapter, store, control, contact, listener);
+    }
+
+    /** Starts to read and watch. */
+    public void start() {
+        control.execute(this::read);
+    }
+
+    /**
+     * The configuration in force.
+     *
+     * @return the newest known, or null before the first; safe for any thread
+     */
+    public @Nullable Held held() {
+        return held;
+    }
+
+    /**
+     * Version of the configuration in force.
+     *
+     * @return the version, 0 before the first; safe for any thread
+     */
+    public long version() {
+        Held now = held;
+        return now == null ? 0 : now.plan().version();
+    }
+
+    /**
+     * Takes a stored value, from wherever it came.
+     *
+     * @param value the value
+     * @param source where it came from, for the log
+     */
+    public void offer(String value, String source) {
+        Decoded<ServingPlan> decoded = adapter.plan(value);
+        if (decoded instanceof Decoded.Unreadable<ServingPlan> unreadable) {
+            Event.of("plan.unreadable")
+                    .with("source", source)
+                    .with("reason", unreadable.reason())
+                    .with("kept_version", version())
+                    .error();
+            return;
+        }
+        ServingPlan plan = ((Decoded.Read<ServingPlan>) decoded).value();
+        long before = version();
+        if (plan.version() <= before) {
+            return;
+        }
+        held = new Held(plan, value);
+        Event.of("plan.applied")
+                .with("version", plan.version())
+                .with("before", before)
+                .with("source", source)
+                .info();
+        listener.accept(plan);
+    }
+
+    private void read() {
+        store.read(adapter.planKey()).thenAcceptAsync(this::onRead, control::execute);
+    }
+
+    private void onRead(ReadResult result) {
+        contact.note(result);
+        if (result instanceof ReadResult.Found found) {
+            offer(found.object().value(), "store");
+            watch(found.object().revision());
+        } else if (result instanceof ReadResult.Absent absent) {
+            watch(absent.revision());
+        } else {
+            control.schedule(RETRY, this::read);
+        }
+    }
+
+    private void watch(long after) {
+        store.watch(Set.of(adapter.planKey().kind()), after, WATCH_WAIT)
+                .thenAcceptAsync(result -> onWatch(result, after), control::execute);
+    }
+
+    private void onWatch(WatchResult result, long after) {
+        contact.note(result);
+        if (result instanceof WatchResult.Changes changes) {
+            changes.changes().stream()
+                    .filter(change -> change.key().equals(adapter.planKey()))
+                    .map(WatchResult.Change::object)
+                    .forEach(this::onChange);
+            long next = Math.max(after, changes.revision());
+            control.schedule(PAUSE, () -> watch(next));
+        } else {
+            control.schedule(RETRY, this::read);
+        }
+    }
+
+    private void onChange(@Nullable StoredObject object) {
+        if (object == null) {
+            Event.of("plan.deleted").with("kept_version", version()).error();
+        } else {
+            offer(object.value(), "watch");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/SnapshotJson.java
@@ -0,0 +1,57 @@
+package org.sardinelift.gateway.feed;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.StoredObject;
+
+/** Stored objects as instances hand them to each other while the store is away. */
+final class SnapshotJson {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private SnapshotJson() {}
+
+    static byte[] write(TargetFeed.Snapshot snapshot) {
+        ObjectNode root = MAPPER.createObjectNode();
+        long ageNanos = System.nanoTime() - snapshot.readAt();
+        root.put("revision", snapshot.revision());
+        root.put("ageMs", TimeUnit.NANOSECONDS.toMillis(ageNanos));
+        ArrayNode objects = root.putArray("objects");
+        snapshot.objects()
+                .forEach(
+                        object ->
+                                objects.addObject()
+                                        .put("kind", object.key().kind())
+                                        .put("name", object.key().name())
+                                        .put("version", object.version())
+                                        .put("revision", object.revision())
+                                        .put("value", object.value()));
+        return root.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    static TargetFeed.Snapshot read(String text, long receivedAt) throws JsonProcessingException {
+        JsonNode root = MAPPER.readTree(text);
+        List<StoredObject> objects = new ArrayList<>();
+        root.path("objects")
+                .forEach(
+                        node ->
+                                objects.add(
+                                        new StoredObject(
+                                                new ObjectKey(
+                                                        node.path("kind").asText(),
+                                                        node.path("name").asText()),
+                                                node.path("version").asLong(),
+                                                node.path("revision").asLong(),
+                                                node.path("value").asText())));
+        long ageNanos = TimeUnit.MILLISECONDS.toNanos(root.path("ageMs").asLong());
+        return new TargetFeed.Snapshot(
+                objects, root.path("revision").asLong(), receivedAt - ageNanos);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -0,0 +1,161 @@
+package org.sardinelift.gateway.job;
+
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.joblog.ItemProgress;
+import org.sardinelift.core.joblog.ItemSchedule;
+import org.sardinelift.core.plan.RoutePlan;
+import org.sardinelift.core.stream.EventReader;
+import org.sardinelift.core.stream.StreamEvent;
+import org.sardinelift.gateway.call.StatedLoad;
+import org.sardinelift.gateway.call.TargetTable.Target;
+import org.sardinelift.http.HttpAnswerListener;
+import org.sardinelift.http.HttpCall;
+import org.sardinelift.http.HttpClient;
+
+/** One run of an item on a target. On the event loop. */
+final class ItemRun implements HttpAnswerListener {
+    private static final int MISDIRECTED = 421;
+    private static final int UNPROCESSABLE = 422;
+    private static final int SUCCESS_CLASS = 2;
+    private static final int CLASS_SIZE = 100;
+
+    private final ItemRunner runner;
+    private final ItemSchedule.Due due;
+    private final RoutePlan route;
+    private final Target target;
+    private Runnable canceller = () -> {};
+    private long startedAt;
+    private int status;
+    private List<Map.Entry<String, String>> headers = List.of();
+    private @Nullable EventReader reader;
+
+    ItemRun(ItemRunner runner, ItemSchedule.Due due, RoutePlan route, Target target) {
+        this.runner = runner;
+        this.due = due;
+        this.route = route;
+        this.target = target;
+    }
+
+    ItemSchedule.Due due() {
+        return due;
+    }
+
+    ItemProgress item() {
+        return due.item();
+    }
+
+    RoutePlan route() {
+        return route;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    void start(HttpClient client, HttpCall call, long now) {
+        startedAt = now;
+        canceller = client.send(call, this);
+    }
+
+    /** Closes the connection, so that the target drops the item. */
+    void cancel() {
+        canceller.run();
+    }
+
+    @Override
+    public void onHead(int answered, List<Map.Entry<String, String>> fields) {
+        if (!runner.isRunning(this)) {
+            return;
+        }
+        status = answered;
+        headers = fields;
+        long now = System.nanoTime();
+        target.onBytes(now);
+        String echoed = header(runner.headers().callId());
+        if (echoed != null && !echoed.equals(item().item().id())) {
+            fail("the answer belongs to call " + echoed);
+            return;
+        }
+        StatedLoad.parse(header(runner.headers().load()))
+                .ifPresent(calls -> runner.network().board().onStated(target.id(), calls, now));
+        boolean succeeded = status / CLASS_SIZE == SUCCESS_CLASS;
+        if (succeeded && header(runner.headers().signature()) == null) {
+            fail("the answer has no signature");
+        } else if (succeeded) {
+            reader =
+                    item().lastEvent().isPresent()
+                            ? EventReader.after(item().lastEvent().getAsLong())
+                            : EventReader.fromStart();
+        }
+    }
+
+    @Override
+    public void onData(byte[] part) {
+        if (!runner.isRunning(this) || reader == null) {
+            return;
+        }
+        target.onBytes(System.nanoTime());
+        List<StreamEvent> received = reader.read(part);
+        if (!received.isEmpty()) {
+            received.forEach(event -> item().onEvent(event.id(), event.data()));
+            item().onProgress();
+        }
+        if (reader.fault().isPresent()) {
+            fail(reader.fault().get());
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        if (!runner.isRunning(this)) {
+            return;
+        }
+        if (status == MISDIRECTED) {
+            runner.table().onMisdirected(target);
+            runner.onRefused(this, "another target has the address");
+        } else if (header(runner.headers().notRun()) != null) {
+            runner.onRefused(this, "refused with status " + status);
+        } else if (reader == null) {
+            runner.onFailed(this, status, status == UNPROCESSABLE);
+        } else if (reader.isWithinEvent()) {
+            fail("the stream ends within an event");
+        } else {
+            runner.onDone(this);
+        }
+    }
+
+    @Override
+    public void onFailure(Throwable cause, boolean mayHaveRun) {
+        if (!runner.isRunning(this)) {
+            return;
+        }
+        String reason = String.valueOf(cause.getMessage() == null ? cause : cause.getMessage());
+        if (mayHaveRun) {
+            runner.table().onFailure(target);
+            runner.onCut(this, reason);
+        } else {
+            runner.table().onSilent(target, reason);
+            runner.onRefused(this, reason);
+        }
+    }
+
+    private void fail(String reason) {
+        cancel();
+        runner.table().onFailure(target);
+        runner.onCut(this, reason);
+    }
+
+    private @Nullable String header(String name) {
+        return headers.stream()
+                .filter(entry -> entry.getKey().equalsIgnoreCase(name))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse(null);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobCodec.java
@@ -0,0 +1,90 @@
+package org.sardinelift.gateway.job;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.sardinelift.core.joblog.ItemResult;
+
+/** Values of the objects by which a job is stored. */
+final class JobCodec {
+    /** A part of a value's bound, since a document grows when it is quoted. */
+    static final int MAX_DOCUMENT_CHARS = 400_000;
+
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private JobCodec() {}
+
+    /**
+     * The object that makes a job accepted.
+     *
+     * @param team team that it runs for
+     * @param route route that it came by
+     * @param host host that the caller named
+     * @param submittedMs when it was accepted, Unix milliseconds
+     * @param parts objects before this one that hold the beginning of the document
+     * @param document end of the document as the caller sent it
+     */
+    record Header(
+            String team, String route, String host, long submittedMs, int parts, String document) {}
+
+    static String header(Header header) {
+        return MAPPER.createObjectNode()
+                .put("team", header.team())
+                .put("route", header.route())
+                .put("host", header.host())
+                .put("submittedMs", header.submittedMs())
+                .put("parts", header.parts())
+                .put("document", header.document())
+                .toString();
+    }
+
+    static Header header(String value) {
+        JsonNode node = tree(value);
+        return new Header(
+                node.path("team").asText(),
+                node.path("route").asText(),
+                node.path("host").asText(),
+                node.path("submittedMs").asLong(),
+                node.path("parts").asInt(),
+                node.path("document").asText());
+    }
+
+    static String record(List<ItemResult> results) {
+        ObjectNode root = MAPPER.createObjectNode();
+        ArrayNode array = root.putArray("results");
+        results.forEach(
+                result ->
+                        array.addObject()
+                                .put("id", result.itemId())
+                                .put("outcome", result.outcome().name())
+                                .put("output", result.output()));
+        return root.toString();
+    }
+
+    static List<ItemResult> record(String value) {
+        List<ItemResult> results = new ArrayList<>();
+        tree(value)
+                .path("results")
+                .forEach(
+                        node ->
+                                results.add(
+                                        new ItemResult(
+                                                node.path("id").asText(),
+                                                ItemResult.Outcome.valueOf(
+                                                        node.path("outcome").asText()),
+                                                node.path("output").asText())));
+        return results;
+    }
+
+    private static JsonNode tree(String value) {
+        try {
+            return MAPPER.readTree(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(e.getOriginalMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobPaths.java
@@ -0,0 +1,65 @@
+package org.sardinelift.gateway.job;
+
+import io.netty.handler.codec.http.QueryStringEncoder;
+import java.util.Map;
+
+/** Internal calls about batch jobs, from gateways to workers. */
+public final class JobPaths {
+    /** Begins the path of every such call. */
+    public static final String PREFIX = "/jobs/";
+
+    static final String RESULTS = "/results";
+    static final String ITEMS = "/items/";
+    static final String TEAM = "team";
+    static final String ROUTE = "route";
+    static final String HOST = "host";
+    static final String AFTER = "after";
+    static final String WAIT_MS = "waitMs";
+
+    private JobPaths() {}
+
+    /**
+     * Submission of a job.
+     *
+     * @param job name of the job
+     * @param team team that it runs for
+     * @param route name of its route
+     * @param host host that the caller named
+     * @return path and query
+     */
+    public static String submit(String job, String team, String route, String host) {
+        return uri(PREFIX + job, Map.of(TEAM, team, ROUTE, route, HOST, host));
+    }
+
+    /**
+     * Another call about a job.
+     *
+     * @param call the call
+     * @param team team of the caller
+     * @return path and query
+     */
+    public static String of(JobInterface.JobCall call, String team) {
+        if (call instanceof JobInterface.JobCall.Results results) {
+            return uri(
+                    PREFIX + call.job() + RESULTS,
+                    Map.of(
+                            TEAM,
+                            team,
+                            AFTER,
+                            Integer.toString(results.after()),
+                            WAIT_MS,
+                            Long.toString(results.waitMs())));
+        }
+        String path =
+                call instanceof JobInterface.JobCall.Body body
+                        ? PREFIX + call.job() + ITEMS + body.item()
+                        : PREFIX + call.job();
+        return uri(path, Map.of(TEAM, team));
+    }
+
+    private static String uri(String path, Map<String, String> query) {
+        QueryStringEncoder encoder = new QueryStringEncoder(path);
+        query.forEach(encoder::addParam);
+        return encoder.toString();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -0,0 +1,323 @@
+package org.sardinelift.gateway.job;
+
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.joblog.ItemResult;
+import org.sardinelift.core.joblog.JobItem;
+import org.sardinelift.core.joblog.JobProgress;
+import org.sardinelift.core.joblog.JobSpec;
+import org.sardinelift.http.HttpExchange;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.runtime.log.Event;
+
+/** Answers gateways' calls about batch jobs. On the event loop. */
+final class JobService {
+    private static final Duration SUBMIT_BOUND = Duration.ofMillis(750);
+    private static final Duration END_BOUND = Duration.ofMillis(500);
+
+    /** Knowledge that is older may lack a result that a caller has read elsewhere. */
+    private static final Duration FRESH = Duration.ofMillis(700);
+
+    private static final int MAX_PAGE_CHARS = 700_000;
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+    private static final int OUTCOME_UNKNOWN = 504;
+    private static final int MAX_ITEMS = 200;
+
+    private final JobInterface jobInterface;
+    private final JobBook book;
+    private final JobFeed feed;
+    private final JobStorage storage;
+    private final EventLoop loop;
+    private final Consumer<JobProgress> accepted;
+    private final Map<String, List<Waiter>> waiters = new HashMap<>();
+
+    /** A read that waits for a result. */
+    private record Waiter(HttpExchange exchange, int after, long deadline) {}
+
+    JobService(
+            JobInterface jobInterface,
+            JobBook book,
+            JobFeed feed,
+            JobStorage storage,
+            EventLoop loop,
+            Consumer<JobProgress> accepted) {
+        this.jobInterface = jobInterface;
+        this.book = book;
+        this.feed = feed;
+        this.storage = storage;
+        this.loop = loop;
+        this.accepted = accepted;
+    }
+
+    /** Answers a call; false where its path is none of a job. */
+    boolean handle(HttpExchange exchange) {
+        String path = exchange.path();
+        if (!path.startsWith(JobPaths.PREFIX)) {
+            return false;
+        }
+        String rest = path.substring(JobPaths.PREFIX.length());
+        int items = rest.indexOf(JobPaths.ITEMS);
+        if (exchange.method().equals("POST")) {
+            submit(exchange, rest);
+        } else if (exchange.method().equals("DELETE")) {
+            withJob(exchange, rest, job -> end(exchange, job));
+        } else if (items > 0) {
+            String item = rest.substring(items + JobPaths.ITEMS.length());
+            withJob(exchange, rest.substring(0, items), job -> body(exchange, job, item));
+        } else if (rest.endsWith(JobPaths.RESULTS)) {
+            String job = rest.substring(0, rest.length() - JobPaths.RESULTS.length());
+            withJob(exchange, job, found -> results(exchange, found));
+        } else {
+            answer(exchange, NOT_FOUND, "no such call");
+        }
+        return true;
+    }
+
+    private void submit(HttpExchange exchange, String id) {
+        if (book.find(id).isPresent()) {
+            answer(exchange, ACCEPTED, "accepted before");
+            return;
+        }
+        List<JobItem> items;
+        try {
+            items = jobInterface.items(exchange.body());
+        } catch (IllegalArgumentException e) {
+            answer(exchange, BAD_REQUEST, "the job can't be read: " + e.getMessage());
+            return;
+        }
+        if (items.isEmpty() || items.size() > MAX_ITEMS) {
+            answer(exchange, BAD_REQUEST, "a job has 1 to " + MAX_ITEMS + " items");
+            return;
+        }
+        JobSpec spec =
+                new JobSpec(
+                        id,
+                        query(exchange, JobPaths.TEAM),
+                        query(exchange, JobPaths.ROUTE),
+                        query(exchange, JobPaths.HOST),
+                        System.currentTimeMillis(),
+                        items);
+        JobCodec.Header header =
+                new JobCodec.Header(
+                        spec.team(), spec.route(), spec.host(), spec.submittedMs(), 0, "");
+        String document = new String(exchange.body(), StandardCharsets.UTF_8);
+        long deadline = System.nanoTime() + SUBMIT_BOUND.toNanos();
+        storage.createJob(id, header, document, deadline)
+                .thenAccept(created -> onStored(exchange, spec, created));
+    }
+
+    private void onStored(HttpExchange exchange, JobSpec spec, JobStorage.Created created) {
+        Event.of("job.submitted")
+                .with("job", spec.id())
+                .with("team", spec.team())
+                .with("items", spec.items().size())
+                .with("stored", created.name())
+                .info();
+        switch (created) {
+            case EXISTS -> {
+                accepted.accept(book.add(spec));
+                answer(exchange, ACCEPTED, "accepted");
+            }
+            case NOT_CREATED -> answer(exchange, UNAVAILABLE, "the job could not be stored");
+            default -> answer(exchange, OUTCOME_UNKNOWN, "the job may have been stored");
+        }
+    }
+
+    /** Finds the job, in the store where it isn't known here; a caller of another team gets 404. */
+    private void withJob(HttpExchange exchange, String id, Consumer<JobProgress> action) {
+        Optional<JobProgress> known = book.find(id);
+        if (known.isPresent()) {
+            checkTeam(exchange, known.get(), action);
+            return;
+        }
+        load(id).thenAccept(
+                        found -> {
+                            if (found.isEmpty()) {
+                                answer(exchange, UNAVAILABLE, "the store doesn't answer");
+                            } else if (!found.get()) {
+                                answer(exchange, NOT_FOUND, "no such job");
+                            } else {
+                                checkTeam(exchange, book.find(id).orElseThrow(), action);
+                            }
+                        });
+    }
+
+    private void checkTeam(HttpExchange exchange, JobProgress job, Consumer<JobProgress> action) {
+        if (job.spec().team().equals(query(exchange, JobPaths.TEAM))) {
+            action.accept(job);
+        } else {
+            answer(exchange, NOT_FOUND, "no such job of this team");
+        }
+    }
+
+    /** Reads a job from the store; empty where the store doesn't answer. */
+    private CompletableFuture<Optional<Boolean>> load(String id) {
+        return storage.read(new JobObject.Header(id))
+                .thenCompose(
+                        result -> {
+                            if (result instanceof ReadResult.Absent) {
+                                return CompletableFuture.completedFuture(Optional.of(false));
+                            }
+                            if (!(result instanceof ReadResult.Found found)) {
+                                return CompletableFuture.completedFuture(Optional.empty());
+                            }
+                            int parts = JobCodec.header(found.object().value()).parts();
+                            return loadParts(id, 0, parts)
+                                    .thenApply(
+                                            whole -> {
+                                                book.take(found.object());
+                                                boolean known = book.find(id).isPresent();
+                                                return known ? Optional.of(true) : Optional.empty();
+                                            });
+                        });
+    }
+
+    private CompletableFuture<Boolean> loadParts(String id, int number, int parts) {
+        if (number == parts) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return storage.read(new JobObject.Part(id, number))
+                .thenCompose(
+                        result -> {
+                            if (result instanceof ReadResult.Found found) {
+                                book.take(found.object());
+                            }
+                            return loadParts(id, number + 1, parts);
+                        });
+    }
+
+    private void end(HttpExchange exchange, JobProgress job) {
+        if (job.hasEnded()) {
+            answer(exchange, OK, "ended");
+            return;
+        }
+        String id = job.spec().id();
+        storage.createEnd(id, System.nanoTime() + END_BOUND.toNanos())
+                .thenAccept(
+                        created -> {
+                            Event.of("job.end")
+                                    .with("job", id)
+                                    .with("stored", created.name())
+                                    .info();
+                            if (created == JobStorage.Created.EXISTS) {
+                                book.onEnd(job);
+                                answer(exchange, OK, "ended");
+                            } else {
+                                answer(exchange, UNAVAILABLE, "the end could not be stored");
+                            }
+                        });
+    }
+
+    private void body(HttpExchange exchange, JobProgress job, String item) {
+        Optional<JobItem> found = job.item(item);
+        if (found.isEmpty()) {
+            answer(exchange, NOT_FOUND, "no such item");
+            return;
+        }
+        exchange.respond(
+                OK, Map.of("content-type", "application/octet-stream"), found.get().body());
+    }
+
+    private void results(HttpExchange exchange, JobProgress job) {
+        int after = (int) number(exchange, JobPaths.AFTER);
+        long waitMs = number(exchange, JobPaths.WAIT_MS);
+        if (job.positions() > after) {
+            answerPage(exchange, job, after);
+            return;
+        }
+        boolean complete = job.positions() == job.spec().items().size();
+        if (complete || waitMs <= 0) {
+            answerEmpty(exchange, job, after);
+            return;
+        }
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        Waiter waiter = new Waiter(exchange, after, deadline);
+        String id = job.spec().id();
+        waiters.computeIfAbsent(id, key -> new ArrayList<>()).add(waiter);
+        loop.schedule(() -> onWaitOver(id, job, waiter), waitMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Positions of a job were filled. */
+    void onChanged(JobProgress job) {
+        List<Waiter> waiting = waiters.get(job.spec().id());
+        if (waiting == null) {
+            return;
+        }
+        List<Waiter> due =
+                waiting.stream().filter(waiter -> job.positions() > waiter.after()).toList();
+        due.forEach(waiter -> answerPage(waiter.exchange(), job, waiter.after()));
+        waiting.removeAll(due);
+        if (waiting.isEmpty()) {
+            waiters.remove(job.spec().id());
+        }
+    }
+
+    private void onWaitOver(String id, JobProgress job, Waiter waiter) {
+        List<Waiter> waiting = waiters.get(id);
+        if (waiting == null || !waiting.remove(waiter)) {
+            return;
+        }
+        if (waiting.isEmpty()) {
+            waiters.remove(id);
+        }
+        answerEmpty(waiter.exchange(), job, waiter.after());
+    }
+
+    /** Says that nothing is at a position, once that is certain. */
+    private void answerEmpty(HttpExchange exchange, JobProgress job, int after) {
+        boolean complete = job.positions() == job.spec().items().size();
+        if (complete || feed.staleNanos() < FRESH.toNanos()) {
+            answerPage(exchange, job, after);
+            return;
+        }
+        storage.read(new JobObject.Record(job.spec().id(), job.nextRecord()))
+                .thenAccept(
+                        result -> {
+                            if (result instanceof ReadResult.Found found) {
+                                book.take(found.object());
+                                answerPage(exchange, job, after);
+                            } else if (result instanceof ReadResult.Absent) {
+                                answerPage(exchange, job, after);
+                            } else {
+                                answer(exchange, UNAVAILABLE, "the store doesn't answer");
+                            }
+                        });
+    }
+
+    private void answerPage(HttpExchange exchange, JobProgress job, int after) {
+        List<ItemResult> page = job.results(after, MAX_PAGE_CHARS);
+        int total = job.spec().items().size();
+        exchange.respond(
+                OK,
+                Map.of("content-type", "application/json"),
+                jobInterface.results(total, after + page.size(), page));
+    }
+
+    private static String query(HttpExchange exchange, String name) {
+        @Nullable String value = exchange.query(name);
+        return value == null ? "" : value;
+    }
+
+    private static long number(HttpExchange exchange, String name) {
+        String text = query(exchange, name);
+        return text.matches("\\d{1,9}") ? Long.parseLong(text) : 0;
+    }
+
+    private static void answer(HttpExchange exchange, int status, String detail) {
+        exchange.respondJson(status, "{\"detail\":\"" + detail.replace('"', '\'') + "\"}");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
@@ -0,0 +1,126 @@
+package org.sardinelift.gateway.job;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.gateway.Adapter;
+import org.sardinelift.gateway.NodeSettings;
+import org.sardinelift.gateway.feed.StoreContact;
+import org.sardinelift.http.HttpAnswer;
+import org.sardinelift.http.HttpCall;
+import org.sardinelift.http.HttpClient;
+import org.sardinelift.objects.ObjectKey;
+import org.sardinelift.objects.ObjectStore;
+import org.sardinelift.objects.ReadResult;
+import org.sardinelift.runtime.ControlThread;
+import org.sardinelift.runtime.log.Event;
+
+/**
+ * Looks for operators' requests to empty this instance, hands its work to others and reports when
+ * it is done. Nothing that must last is on the instance. Works on the control thread.
+ */
+final class RetirementWatch {
+    private static final Duration INTERVAL = Duration.ofMillis(1_500);
+    private static final Duration RETRY = Duration.ofMillis(400);
+    private static final int OK = 200;
+
+    private final Adapter adapter;
+    private final NodeSettings settings;
+    private final ObjectStore store;
+    private final HttpClient client;
+    private final ControlThread control;
+    private final StoreContact contact;
+    private final Runnable handOver;
+    private final BooleanSupplier isEmpty;
+    private boolean asked;
+    private boolean startReported;
+
+    RetirementWatch(
+            Adapter adapter,
+            NodeSettings settings,
+            ObjectStore store,
+            HttpClient client,
+            ControlThread control,
+            StoreContact contact,
+            Runnable handOver,
+            BooleanSupplier isEmpty) {
+        this.adapter = adapter;
+        this.settings = settings;
+        this.store = store;
+        this.client = client;
+        this.control = control;
+        this.contact = contact;
+        this.handOver = handOver;
+        this.isEmpty = isEmpty;
+    }
+
+    void start() {
+        adapter.retirementKind().ifPresent(kind -> control.execute(() -> look(kind)));
+    }
+
+    private void look(String kind) {
+        ObjectKey key = new ObjectKey(kind, settings.instance());
+        store.read(key)
+                .thenAcceptAsync(
+                        result -> {
+                            contact.note(result);
+                            if (result instanceof ReadResult.Found) {
+                                onAsked(key);
+                            } else {
+                                control.schedule(INTERVAL, () -> look(kind));
+                            }
+                        },
+                        control::execute);
+    }
+
+    private void onAsked(ObjectKey key) {
+        if (!asked) {
+            asked = true;
+            Event.of("retirement.asked").with("role", PeerRole.WORKER.label()).info();
+            handOver.run();
+        }
+        if (!startReported) {
+            report(key, false);
+        } else if (isEmpty.getAsBoolean()) {
+            report(key, true);
+        } else {
+            control.schedule(RETRY, () -> onAsked(key));
+        }
+    }
+
+    private void report(ObjectKey key, boolean done) {
+        var request = adapter.retirementReport(key, done);
+        HttpCall call =
+                HttpCall.of(
+                        settings.store().host(),
+                        settings.store().port(),
+                        request.method(),
+                        request.uri(),
+                        Map.of("content-type", "application/json"),
+                        request.body(),
+                        settings.storeTimeout());
+        client.call(call)
+                .handle((answer, error) -> Optional.ofNullable(answer))
+                .thenAcceptAsync(answer -> onReported(key, done, answer), control::execute);
+    }
+
+    private void onReported(ObjectKey key, boolean done, Optional<HttpAnswer> answer) {
+        boolean reported = answer.filter(it -> it.status() == OK).isPresent();
+        Event.of("retirement.reported")
+                .with("done", done)
+                .with("status", answer.map(HttpAnswer::status).orElse(0))
+                .with(
+                        "answer",
+                        answer.map(it -> new String(it.body(), StandardCharsets.UTF_8))
+                                .filter(text -> !reported)
+                                .orElse(null))
+                .info();
+        startReported |= reported;
+        if (!reported || !done) {
+            control.schedule(RETRY, () -> onAsked(key));
+        }
+    }
+}
--- a/sardinelift/src/main/java/org/sardinelift/server/LogOutput.java
+++ b/sardinelift/src/main/java/org/sardinelift/server/LogOutput.java
@@ -2,20 +2,42 @@
 
 import org.tinylog.configuration.Configuration;
 
-/** Where log lines go: standard error, since standard output carries the ready line only. */
-final class LogOutput {
-    private LogOutput() {}
+/** Where log lines go. */
+enum LogOutput {
+    /** Text on standard error, since standard output carries the ready line only. */
+    TEXT {
+        @Override
+        void set() {
+            Configuration.set("writer", "console");
+            Configuration.set("writer.stream", "err");
+            Configuration.set(
+                    "writer.format",
+                    "{date: yyyy-MM-dd'T'HH:mm:ss.SSS} {level} {class-name} {message}");
+        }
+    },
+    /** JSON objects on standard output, written by a thread of their own. */
+    STRUCTURED {
+        @Override
+        void set() {
+            Configuration.set("writer", "structured");
+        }
+    };
+
+    abstract void set();
+
+    static LogOutput of(Role role) {
+        return switch (role) {
+            case ENTRY, COMPANION -> TEXT;
+            case GATEWAY, WORKER -> STRUCTURED;
+        };
+    }
 
     /** Sets the output and the lowest level; has no effect once a line was logged. */
-    static void configure(String level) {
+    void configure(String level) {
         if (Configuration.isFrozen()) {
             return;
         }
-        Configuration.set("writer", "console");
-        Configuration.set("writer.stream", "err");
-        Configuration.set(
-                "writer.format",
-                "{date: yyyy-MM-dd'T'HH:mm:ss.SSS} {level} {class-name} {message}");
+        set();
         Configuration.set("level", level);
     }
 }
--- a/sardinelift/src/main/java/org/sardinelift/server/Role.java
+++ b/sardinelift/src/main/java/org/sardinelift/server/Role.java
@@ -6,6 +6,11 @@
 import org.sardinelift.companion.CompanionSettings;
 import org.sardinelift.entry.EntryProcess;
 import org.sardinelift.entry.EntrySettings;
+import org.sardinelift.gateway.GatewayProcess;
+import org.sardinelift.gateway.GatewaySettings;
+import org.sardinelift.gateway.WorkerProcess;
+import org.sardinelift.gateway.WorkerSettings;
+import org.sardinelift.platform.PotRegistryAdapter;
 import org.sardinelift.settings.SettingsNode;
 
 /** What an instance does; each role reads its own settings and starts its own process. */
@@ -36,6 +41,31 @@
                         process.readyLine(), process.drainAsked(), process::drain, process);
             };
         }
+    },
+    /** Takes callers' requests and sends them to targets itself, on the users' platform. */
+    GATEWAY {
+        @Override
+        Startable read(SettingsNode node) {
+            GatewaySettings settings = GatewaySettings.read(node);
+            return () -> {
+                GatewayProcess process =
+                        GatewayProcess.start(settings, PotRegistryAdapter.create());
+                return new Instance(
+                        process.readyLine(), process.drainAsked(), process::drain, process);
+            };
+        }
+    },
+    /** Keeps and runs batch jobs on the users' platform. */
+    WORKER {
+        @Override
+        Startable read(SettingsNode node) {
+            WorkerSettings settings = WorkerSettings.read(node);
+            return () -> {
+                WorkerProcess process = WorkerProcess.start(settings, PotRegistryAdapter.create());
+                return new Instance(
+                        process.readyLine(), process.drainAsked(), process::drain, process);
+            };
+        }
     };
 
     /**
--- a/sardinelift/src/main/java/org/sardinelift/server/Sardinelift.java
+++ b/sardinelift/src/main/java/org/sardinelift/server/Sardinelift.java
@@ -65,7 +65,7 @@
     private ExitCode load(Path file, boolean checkOnly) {
         SettingsResult<ServerSettings> result = SettingsFile.load(file, ServerSettings::read);
         if (result instanceof SettingsResult.Sound<ServerSettings> sound) {
-            return checkOnly ? sound(file) : serve(sound.settings());
+            return checkOnly ? sound(file) : serve(file, sound.settings());
         }
         return refuse(file, (SettingsResult.Unsound<ServerSettings>) result);
     }
@@ -114,8 +114,9 @@
         return ExitCode.BAD_SETTINGS;
     }
 
-    private ExitCode serve(ServerSettings settings) {
+    private ExitCode serve(Path file, ServerSettings settings) {
         try {
+            ReloadSignal.install(file);
             Role.Instance instance = settings.role().start();
             AtomicBoolean stopped = new AtomicBoolean();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(instance, stopped)));
--- a/sardinelift/src/main/java/org/sardinelift/server/ServerSettings.java
+++ b/sardinelift/src/main/java/org/sardinelift/server/ServerSettings.java
@@ -13,8 +13,8 @@
     static ServerSettings read(SettingsNode node) {
         String logLevel =
                 node.object("log").choice("level", "info", "trace", "debug", "warn", "error");
-        LogOutput.configure(logLevel);
-        Role role = Role.named(node.choice("role", "entry", "companion"));
+        Role role = Role.named(node.choice("role", "entry", "companion", "gateway", "worker"));
+        LogOutput.of(role).configure(logLevel);
         return new ServerSettings(role.read(node));
     }
 }
