--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/load/PlacementTest.java
@@ -0,0 +1,98 @@
+package org.sardinelift.core.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sardinelift.core.load.Placement.Choice;
+
+class PlacementTest {
+    private static final long MILLI = 1_000_000;
+    private static final Duration OBJECTIVE = Duration.ofMillis(300);
+
+    private final Placement placement = Placement.of("near", Duration.ofMillis(30));
+
+    private static TargetLoad target(String id, String zone, int online, int batch) {
+        return new TargetLoad(id, zone, 8, new Use(online, batch), 800 * MILLI, 50 * MILLI);
+    }
+
+    private String chosen(TargetLoad... targets) {
+        Choice choice = placement.choose(List.of(targets), OBJECTIVE, 7);
+        return assertInstanceOf(Choice.Place.class, choice).target().id();
+    }
+
+    @Test
+    void prefersAFreeSlotInItsOwnZone() {
+        assertEquals("a", chosen(target("a", "near", 7, 0), target("b", "far", 0, 0)));
+    }
+
+    @Test
+    void takesTheEmptierOfTwoInItsZone() {
+        assertEquals("b", chosen(target("a", "near", 5, 0), target("b", "near", 4, 0)));
+    }
+
+    @Test
+    void goesToAnotherZoneForAFreeSlot() {
+        assertEquals("b", chosen(target("a", "near", 4, 4), target("b", "far", 7, 0)));
+    }
+
+    @Test
+    void takesTheSlotOfABatchItemBeforeAQueue() {
+        assertEquals("b", chosen(target("a", "near", 8, 0), target("b", "far", 7, 1)));
+    }
+
+    @Test
+    void joinsTheShortestQueueThatMeetsTheObjective() {
+        assertEquals("b", chosen(target("a", "near", 10, 0), target("b", "far", 8, 0)));
+    }
+
+    @Test
+    void avoidsASlowTargetWhoseSlotIsFree() {
+        TargetLoad slow = new TargetLoad("a", "near", 8, new Use(2, 0), 4_000 * MILLI, 250 * MILLI);
+
+        assertEquals("b", chosen(slow, target("b", "near", 3, 0)));
+    }
+
+    @Test
+    void refusesWhereNoTargetMeetsTheObjective() {
+        Choice choice =
+                placement.choose(
+                        List.of(target("a", "near", 11, 0), target("b", "far", 12, 0)),
+                        OBJECTIVE,
+                        7);
+
+        Choice.Refuse refusal = assertInstanceOf(Choice.Refuse.class, choice);
+        // Four ahead of a slot that comes free each 100 ms, less what the objective leaves.
+        assertEquals(Duration.ofMillis(400 + 50 - 270), refusal.retryAfter());
+        assertTrue(!refusal.noTarget());
+    }
+
+    @Test
+    void saysThatThereIsNoTarget() {
+        Choice choice = placement.choose(List.of(), OBJECTIVE, 7);
+
+        assertTrue(assertInstanceOf(Choice.Refuse.class, choice).noTarget());
+    }
+
+    @Test
+    void equalTargetsShareTheCalls() {
+        long toFirst =
+                java.util.stream.LongStream.range(0, 400)
+                        .map(draw -> draw * 0x9E3779B97F4A7C15L)
+                        .mapToObj(
+                                draw ->
+                                        placement.choose(
+                                                List.of(
+                                                        target("a", "near", 1, 0),
+                                                        target("b", "near", 1, 0)),
+                                                OBJECTIVE,
+                                                draw))
+                        .filter(choice -> ((Choice.Place) choice).target().id().equals("a"))
+                        .count();
+
+        assertTrue(toFirst > 120 && toFirst < 280, "" + toFirst);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/load/TargetHealthTest.java
@@ -0,0 +1,80 @@
+package org.sardinelift.core.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class TargetHealthTest {
+    private static final long MILLI = 1_000_000;
+
+    private final TargetHealth health =
+            TargetHealth.of(
+                    Duration.ofMillis(200),
+                    Duration.ofMillis(400),
+                    Duration.ofMillis(50),
+                    Duration.ofMillis(750),
+                    Duration.ofMillis(25));
+
+    @Test
+    void aSilentTargetIsLeftOutUntilAProbeSucceeds() {
+        assertTrue(health.onSilent(0));
+        assertFalse(health.onSilent(1));
+        assertFalse(health.isUsable(10_000 * MILLI));
+
+        assertTrue(health.startProbe(0));
+        assertFalse(health.startProbe(0), "one probe at a time");
+        health.onProbe(false, 0);
+        assertFalse(health.startProbe(199 * MILLI));
+        assertTrue(health.startProbe(200 * MILLI));
+        health.onProbe(true, 200 * MILLI);
+
+        assertTrue(health.isUsable(200 * MILLI));
+    }
+
+    @Test
+    void aTargetThatOftenFailsIsLeftOutForGrowingPauses() {
+        IntStream.range(0, 4).forEach(i -> health.onFailure(0));
+        assertFalse(health.isUsable(399 * MILLI));
+        assertTrue(health.isUsable(400 * MILLI));
+
+        long later = 400 * MILLI;
+        while (!health.onFailure(later)) {
+            assertTrue(health.isUsable(later));
+        }
+        assertFalse(health.isUsable(later + 799 * MILLI));
+        assertTrue(health.isUsable(later + 800 * MILLI));
+    }
+
+    @Test
+    void aFewFailuresAmongManyCallsLeaveItIn() {
+        IntStream.range(0, 200)
+                .forEach(
+                        i -> {
+                            if (i % 20 == 0) {
+                                health.onFailure(0);
+                            } else {
+                                health.onDone(700 * MILLI, 30);
+                            }
+                        });
+
+        assertTrue(health.isUsable(0));
+    }
+
+    @Test
+    void timesFollowTheCalls() {
+        IntStream.range(0, 50)
+                .forEach(
+                        i -> {
+                            health.onFirstEvent(200 * MILLI);
+                            health.onDone(3_000 * MILLI, 30);
+                        });
+
+        assertEquals(200.0, health.firstNanos() / 1e6, 2);
+        assertEquals(3_200.0, health.callNanos() / 1e6, 20);
+        assertEquals(100.0, health.gapNanos() / 1e6, 2);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/quota/FleetQuotaTest.java
@@ -0,0 +1,201 @@
+package org.sardinelift.core.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.sardinelift.core.plan.TeamAllowance;
+
+/** Gateways in virtual time that count a team's calls together. */
+class FleetQuotaTest {
+    private static final long MILLI = 1_000_000;
+    private static final TeamAllowance TEAM = new TeamAllowance("t", 24, 24);
+
+    /** What the platform allows beyond rate and burst in each window. */
+    private static final int WINDOW_SECONDS = 5;
+
+    private static final double OVERRUN = 0.1;
+    private static final double SLACK = 20;
+
+    private static final class Fleet {
+        private final List<FleetQuota> gateways = new ArrayList<>();
+        private final List<Long> admittedAtMs = new ArrayList<>();
+        private final int[] group;
+        private final Random random;
+        private final TeamAllowance team;
+        private long refused;
+
+        Fleet(int size, TeamAllowance team, long seed) {
+            this.team = team;
+            this.group = new int[size];
+            this.random = new Random(seed);
+            QuotaBounds bounds = new QuotaBounds(Duration.ofMillis(600), Duration.ofSeconds(2));
+            for (int i = 0; i < size; i++) {
+                FleetQuota quota = FleetQuota.create(bounds, 0);
+                quota.plan(Map.of(team.name(), team), 0);
+                gateways.add(quota);
+            }
+        }
+
+        /** Runs from one time to another, with calls at a rate, each at a drawn gateway. */
+        void run(int fromMs, int toMs, double callsPerSecond, int firstGateways) {
+            for (long ms = fromMs; ms < toMs; ms++) {
+                if (ms % 20 == 0) {
+                    report(ms);
+                }
+                double due = callsPerSecond / 1_000;
+                while (due > 0 && random.nextDouble() < due) {
+                    call(random.nextInt(firstGateways), ms);
+                    due -= 1;
+                }
+            }
+        }
+
+        private void call(int gateway, long ms) {
+            if (gateways.get(gateway).tryAdmit(team, ms * MILLI) == 0) {
+                admittedAtMs.add(ms);
+            } else {
+                refused++;
+            }
+        }
+
+        private void report(long ms) {
+            for (int from = 0; from < gateways.size(); from++) {
+                Map<String, Long> counts = Map.copyOf(gateways.get(from).admitted());
+                for (int to = 0; to < gateways.size(); to++) {
+                    if (from != to && group[from] == group[to]) {
+                        gateways.get(to).onReport("g" + from, 1, ms * MILLI, counts, ms * MILLI);
+                    }
+                }
+            }
+        }
+
+        long mostInWindow() {
+            long most = 0;
+            int first = 0;
+            for (int last = 0; last < admittedAtMs.size(); last++) {
+                while (admittedAtMs.get(last) - admittedAtMs.get(first)
+                        >= WINDOW_SECONDS * 1_000L) {
+                    first++;
+                }
+                most = Math.max(most, last - first + 1);
+            }
+            return most;
+        }
+    }
+
+    private static double allowed(TeamAllowance team) {
+        return (team.ratePerSecond() * WINDOW_SECONDS + team.burst()) * (1 + OVERRUN) + SLACK;
+    }
+
+    @Test
+    void oneGatewayGetsTheWholeRateWhereAllCallsComeThere() {
+        Fleet fleet = new Fleet(5, TEAM, 1);
+
+        fleet.run(0, 4_000, 0, 1);
+        fleet.run(4_000, 14_000, 22, 1);
+
+        assertEquals(0, fleet.refused);
+    }
+
+    @Test
+    void aTeamAtManyTimesItsRateStaysWithinIt() {
+        Fleet fleet = new Fleet(5, TEAM, 2);
+
+        fleet.run(0, 20_000, 180, 5);
+
+        assertTrue(fleet.mostInWindow() <= allowed(TEAM), "" + fleet.mostInWindow());
+        assertTrue(fleet.admittedAtMs.size() >= 20 * 24 * 0.95, "" + fleet.admittedAtMs.size());
+    }
+
+    @Test
+    void theWholeBurstIsThereAfterQuiet() {
+        Fleet fleet = new Fleet(3, TEAM, 3);
+
+        fleet.run(0, 3_000, 0, 3);
+        IntStream.range(0, 24).forEach(i -> fleet.call(0, 3_000));
+        fleet.call(0, 3_000);
+
+        assertEquals(24, fleet.admittedAtMs.size());
+        assertEquals(1, fleet.refused);
+    }
+
+    @Property(tries = 60)
+    void whateverGroupsLoseEachOtherTheBoundHolds(
+            @ForAll @IntRange(min = 2, max = 8) int size,
+            @ForAll @IntRange(min = 2, max = 8) int groups,
+            @ForAll long seed) {
+        Fleet fleet = new Fleet(size, TEAM, seed);
+        Random random = new Random(seed);
+
+        fleet.run(0, 3_000, 10, size);
+        IntStream.range(0, size).forEach(i -> fleet.group[i] = random.nextInt(groups));
+        fleet.run(3_000, 12_000, 180, size);
+        IntStream.range(0, size).forEach(i -> fleet.group[i] = 0);
+        fleet.run(12_000, 20_000, 180, size);
+
+        assertTrue(fleet.mostInWindow() <= allowed(TEAM), "" + fleet.mostInWindow());
+    }
+
+    @Test
+    void aGatewayThatStoodStillSpendsNothingOfBefore() {
+        Fleet fleet = new Fleet(2, TEAM, 4);
+        fleet.run(0, 3_000, 0, 2);
+        FleetQuota paused = fleet.gateways.get(0);
+
+        paused.onPause(3_000 * MILLI);
+
+        assertTrue(paused.tryAdmit(TEAM, 3_000 * MILLI) > 0);
+    }
+
+    @Test
+    void aRestartedPeerIsCountedFromItsStart() {
+        QuotaBounds bounds = new QuotaBounds(Duration.ofMillis(600), Duration.ofSeconds(2));
+        FleetQuota quota = FleetQuota.create(bounds, 0);
+        quota.plan(Map.of("t", TEAM), 0);
+        long now = 3_000 * MILLI;
+        quota.onReport("g", 1, now, Map.of("t", 500L), now);
+        quota.onReport("g", 2, MILLI, Map.of("t", 20L), now);
+
+        long admitted = IntStream.range(0, 24).filter(i -> quota.tryAdmit(TEAM, now) == 0).count();
+
+        assertEquals(4, admitted);
+    }
+
+    @Test
+    void theTimeUntilTheNextCallIsTrue() {
+        FleetQuota quota =
+                FleetQuota.create(
+                        new QuotaBounds(Duration.ofMillis(600), Duration.ofSeconds(2)), 0);
+        quota.plan(Map.of("t", TEAM), 0);
+
+        long wait = quota.tryAdmit(TEAM, 0);
+
+        assertTrue(quota.tryAdmit(TEAM, wait - MILLI) > 0);
+        assertEquals(0, quota.tryAdmit(TEAM, wait + MILLI));
+    }
+
+    @Test
+    void aLowerRateHoldsAtOnce() {
+        Fleet fleet = new Fleet(2, TEAM, 5);
+        fleet.run(0, 3_000, 0, 2);
+        TeamAllowance less = new TeamAllowance("t", 2, 2);
+        fleet.gateways.forEach(quota -> quota.plan(Map.of("t", less), 3_000 * MILLI));
+
+        long admitted =
+                IntStream.range(0, 50)
+                        .filter(i -> fleet.gateways.get(0).tryAdmit(less, 3_000 * MILLI) == 0)
+                        .count();
+
+        assertEquals(2, admitted);
+    }
+}
