Settle what gateways spent before they noticed that they lost each other

Cause: a bucket was charged for a peer's calls before it was filled for the time before, so that a full bucket lost the charge; gateways that lost each other each kept the whole burst until the silence bound, and a peer that returned was charged for what had been left to it.

--- a/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
+++ b/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
@@ -1,7 +1,11 @@
 package org.sardinelift.core.quota;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.sardinelift.core.plan.TeamAllowance;
 
 /**
@@ -9,9 +13,10 @@
  * bucket, takes its own calls out of it at once, and those of its peers as they report them.
  *
  * <p>A gateway that stops reporting may go on admitting calls unseen. So the buckets are divided:
- * while a peer is silent, its even part of each rate is left to it, and a gateway that hears nobody
- * has only its own even part. Whatever groups of gateways lose each other, their parts add up to
- * the rate; what is spent in excess is bounded by the calls admitted within the silence bound.
+ * while a peer is silent, its even part of each rate and burst is left to it, and a gateway that
+ * hears nobody has only its own even part. A peer is noticed to be silent only after a while; what
+ * was spent here since its last report beyond the part of those still heard is then paid back.
+ * Whatever groups of gateways lose each other, their parts add up to the rate and burst.
  *
  * <p>Loads answered: calls of one team that come unevenly to the gateways, all at one of them or in
  * turn, are admitted up to the whole rate wherever they come. Times are nanoseconds of a monotonic
@@ -20,12 +25,19 @@
 public final class FleetQuota {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Time in which a peer that is heard again has named the counts of all teams. */
+    private static final long RETURN_SETTLED_NANOS = 3_000_000_000L;
+
+    /** Takings remembered of each team; far more than a gateway admits within the silence bound. */
+    private static final int MAX_SPENT = 500;
+
     private final QuotaBounds bounds;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> admitted = new HashMap<>();
 
     private final long startedAt;
+    private double heardPart = 1;
 
     private FleetQuota(QuotaBounds bounds, long startedAt) {
         this.bounds = bounds;
@@ -51,10 +63,32 @@
      * @param now the time
      */
     public void plan(Map<String, TeamAllowance> teams, long now) {
+        noticeSilence(now);
         buckets.keySet().retainAll(teams.keySet());
         teams.values().stream()
                 .filter(TeamAllowance::isLimited)
-                .forEach(team -> bucket(team).refill(team, part(now), now));
+                .forEach(team -> bucket(team).refill(team, heardPart, now));
+    }
+
+    /**
+     * Looks for peers that have fallen silent; to be called several times in the silence bound.
+     *
+     * @param now the time
+     */
+    public void noticeSilence(long now) {
+        double part = part(now);
+        if (part < heardPart) {
+            double left = part / heardPart;
+            buckets.values()
+                    .forEach(
+                            bucket -> {
+                                bucket.refill(bucket.team, heardPart, now);
+                                bucket.divide(left, now, bounds.silence().toNanos());
+                            });
+        } else if (part > heardPart) {
+            buckets.values().forEach(bucket -> bucket.refill(bucket.team, heardPart, now));
+        }
+        heardPart = part;
     }
 
     /**
@@ -68,16 +102,17 @@
         if (!team.isLimited()) {
             return 0;
         }
+        noticeSilence(now);
         Bucket bucket = bucket(team);
-        double part = part(now);
-        bucket.refill(team, part, now);
+        bucket.refill(team, heardPart, now);
         if (bucket.tokens >= 1) {
-            bucket.tokens -= 1;
+            bucket.spend(1, now);
             admitted.merge(team.name(), 1L, Long::sum);
             return 0;
         }
         double missing = 1 - bucket.tokens;
-        return Math.max(1, (long) (missing / (team.ratePerSecond() * part) * NANOS_PER_SECOND));
+        return Math.max(
+                1, (long) (missing / (team.ratePerSecond() * heardPart) * NANOS_PER_SECOND));
     }
 
     /**
@@ -123,19 +158,23 @@
         if (incarnation < peer.incarnation) {
             return;
         }
-        if (now - peer.heardAt >= bounds.silence().toNanos()) {
-            settle(now);
-        }
         if (peer.incarnation != incarnation) {
             peer.incarnation = incarnation;
             peer.counts.clear();
             peer.countsFromStart = ageNanos <= bounds.youngAge().toNanos();
         }
+        noticeSilence(now);
+        if (now - peer.heardAt >= bounds.silence().toNanos()) {
+            peer.silentNanos = now - peer.heardAt;
+            peer.returnedAt = now;
+            peer.settled.clear();
+        }
         peer.heardAt = now;
-        counts.forEach((team, count) -> take(peer, team, count));
+        counts.forEach((team, count) -> take(peer, team, count, now));
+        noticeSilence(now);
     }
 
-    private void take(Peer peer, String team, long count) {
+    private void take(Peer peer, String team, long count, long now) {
         Long before = peer.counts.get(team);
         if (before == null && !peer.countsFromStart) {
             peer.counts.put(team, count);
@@ -148,14 +187,23 @@
         peer.counts.put(team, count);
         Bucket bucket = buckets.get(team);
         if (bucket != null) {
-            bucket.tokens -= added;
+            // Filled first: what a full bucket could not hold must not make up for these calls.
+            bucket.refill(bucket.team, heardPart, now);
+            bucket.spend(Math.max(0, added - leftTo(peer, bucket.team, now)), now);
         }
     }
 
-    /** Buckets fill for the time up to now by the peers that were heard in it. */
-    private void settle(long now) {
-        double part = part(now);
-        buckets.values().forEach(bucket -> bucket.refill(bucket.team, part, now));
+    /**
+     * What was left to a peer while it was silent, and is not to be counted twice; once for each
+     * team after each return, since a report does not name all teams.
+     */
+    private double leftTo(Peer peer, TeamAllowance team, long now) {
+        boolean returned = now - peer.returnedAt < RETURN_SETTLED_NANOS && peer.silentNanos > 0;
+        if (!returned || !peer.settled.add(team.name())) {
+            return 0;
+        }
+        double seconds = peer.silentNanos / NANOS_PER_SECOND;
+        return (team.burst() + seconds * team.ratePerSecond()) / (peers.size() + 1.0);
     }
 
     /**
@@ -184,10 +232,14 @@
     }
 
     private static final class Bucket {
+        private final Deque<Spent> lately = new ArrayDeque<>();
         private TeamAllowance team;
         private double tokens;
         private long filledAt;
 
+        /** Tokens taken out at a time. */
+        private record Spent(double tokens, long at) {}
+
         Bucket(TeamAllowance team, long now) {
             this.team = team;
             this.filledAt = now;
@@ -200,6 +252,27 @@
             team = current;
             filledAt = Math.max(filledAt, now);
         }
+
+        void spend(double count, long now) {
+            tokens -= count;
+            lately.addLast(new Spent(count, now));
+            while (lately.size() > MAX_SPENT) {
+                lately.removeFirst();
+            }
+        }
+
+        /**
+         * Leaves a part of the bucket, as it was when the others were last heard, to those who are
+         * still heard; what these have spent since then is theirs alone.
+         */
+        void divide(double left, long now, long silenceNanos) {
+            double spent =
+                    lately.stream()
+                            .filter(each -> now - each.at() <= silenceNanos)
+                            .mapToDouble(Spent::tokens)
+                            .sum();
+            tokens = left * tokens - (1 - left) * spent;
+        }
     }
 
     private static final class Peer {
@@ -207,6 +280,9 @@
         private long heardAt;
         private long incarnation;
         private boolean countsFromStart;
+        private final Set<String> settled = new HashSet<>();
+        private long silentNanos;
+        private long returnedAt;
 
         Peer(long heardAt) {
             this.heardAt = heardAt;
--- a/core/src/test/java/org/sardinelift/core/quota/FleetQuotaTest.java
+++ b/core/src/test/java/org/sardinelift/core/quota/FleetQuotaTest.java
@@ -146,6 +146,22 @@
         assertTrue(fleet.mostInWindow() <= allowed(TEAM), "" + fleet.mostInWindow());
     }
 
+    /** What was left to a silent peer is not taken from the others once more when it returns. */
+    @Test
+    void callsAreAdmittedAgainAsSoonAsACutHeals() {
+        Fleet fleet = new Fleet(2, TEAM, 6);
+        fleet.run(0, 3_000, 20, 2);
+        fleet.group[1] = 1;
+        fleet.run(3_000, 15_000, 20, 2);
+        fleet.group[1] = 0;
+        fleet.run(15_000, 15_100, 0, 2);
+        long before = fleet.refused;
+
+        fleet.run(15_100, 20_000, 20, 2);
+
+        assertTrue(fleet.refused - before <= 5, "" + (fleet.refused - before));
+    }
+
     @Test
     void aGatewayThatStoodStillSpendsNothingOfBefore() {
         Fleet fleet = new Fleet(2, TEAM, 4);
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -255,6 +255,7 @@
     private void tick() {
         long now = System.nanoTime();
         noticePause(now);
+        quota.noticeSilence(now);
         board.expire(now);
         for (String gone : book.forgetSilent(now)) {
             quota.onGone(gone);
@@ -333,7 +334,7 @@
                                                 use.getValue().online(),
                                                 use.getValue().batch()))
                         .toList());
-        report.setTeams(counts());
+        report.setTeams(counts(sequence % FULL_REPORT == 0));
         report.setJobs(List.copyOf(jobs.get()));
         deaths.values().removeIf(until -> until < sequence);
         report.setDeaths(List.copyOf(deaths.keySet()));
@@ -343,7 +344,7 @@
         return report;
     }
 
-    private List<TeamCount> counts() {
+    private List<TeamCount> counts(boolean all) {
         quota.admitted()
                 .forEach(
                         (team, count) -> {
@@ -351,7 +352,6 @@
                                 countChangedAt.put(team, sequence);
                             }
                         });
-        boolean all = sequence % FULL_REPORT == 0;
         return reportedCounts.entrySet().stream()
                 .filter(entry -> all || sequence - countChangedAt.get(entry.getKey()) < REPEATS)
                 .map(entry -> new TeamCount(entry.getKey(), entry.getValue()))
@@ -423,6 +423,7 @@
     private void introduceTo(Peer peer) {
         PeerReport answer = report();
         answer.setMembers(members());
+        answer.setTeams(counts(true));
         channel.send(channel.bytes(answer), new InetSocketAddress(peer.host(), peer.port()));
     }
 
