--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/joblog/JobRecordsPropertyTest.java
@@ -0,0 +1,128 @@
+package org.sardinelift.core.joblog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * Several workers run one job against a store that creates each record once, loses answers and
+ * carries out calls late. Whatever happens, each item gets one position, and what a reader has seen
+ * never changes.
+ */
+class JobRecordsPropertyTest {
+    private static final int ITEMS = 12;
+
+    /** A store whose answers may be lost and whose calls may take effect later. */
+    private static final class Store {
+        private final Map<Integer, List<ItemResult>> records = new TreeMap<>();
+        private final List<Runnable> late = new ArrayList<>();
+
+        boolean create(int number, List<ItemResult> results) {
+            return records.putIfAbsent(number, results) == null;
+        }
+    }
+
+    private static JobProgress job() {
+        return JobProgress.of(
+                new JobSpec(
+                        "j",
+                        "team",
+                        "route",
+                        "host",
+                        0,
+                        IntStream.range(0, ITEMS)
+                                .mapToObj(i -> new JobItem("i" + i, "/p", Map.of(), new byte[0]))
+                                .toList()));
+    }
+
+    @Property(tries = 500)
+    void eachItemGetsOnePosition(@ForAll long seed) {
+        Random random = new Random(seed);
+        Store store = new Store();
+        List<JobProgress> workers = new ArrayList<>(List.of(job(), job(), job()));
+        List<String> seen = new ArrayList<>();
+        for (int step = 0; step < 4_000 && !workers.get(0).isClosed(); step++) {
+            int index = random.nextInt(workers.size());
+            step(random, store, workers, index);
+            checkSeen(workers.get(index), seen);
+        }
+        store.late.forEach(Runnable::run);
+
+        JobProgress fresh = job();
+        store.records.forEach(fresh::apply);
+        List<String> positions =
+                fresh.results(0, Integer.MAX_VALUE).stream().map(ItemResult::itemId).toList();
+        assertEquals(ITEMS, positions.size());
+        assertEquals(ITEMS, new HashSet<>(positions).size());
+    }
+
+    private static void step(Random random, Store store, List<JobProgress> workers, int index) {
+        JobProgress worker = workers.get(index);
+        switch (random.nextInt(6)) {
+            case 0 -> {
+                List<ItemProgress> open = worker.openItems().toList();
+                if (!open.isEmpty()) {
+                    ItemProgress item = open.get(random.nextInt(open.size()));
+                    worker.onResult(ItemResult.completed(item.item().id(), "by worker " + index));
+                }
+            }
+            case 1, 2 -> record(random, store, worker);
+            case 3 -> {
+                // A watch brings the next record.
+                int next = worker.nextRecord();
+                if (store.records.containsKey(next)) {
+                    worker.apply(next, store.records.get(next));
+                }
+            }
+            case 4 -> {
+                if (!store.late.isEmpty()) {
+                    store.late.remove(random.nextInt(store.late.size())).run();
+                }
+            }
+            default -> {
+                if (random.nextInt(40) == 0) {
+                    // The worker is lost with all that it knew.
+                    workers.set(index, job());
+                }
+            }
+        }
+    }
+
+    private static void record(Random random, Store store, JobProgress worker) {
+        List<ItemResult> batch = worker.unrecorded(1 + random.nextInt(40));
+        if (batch.isEmpty()) {
+            return;
+        }
+        int number = worker.nextRecord();
+        switch (random.nextInt(4)) {
+            case 0 -> store.late.add(() -> store.create(number, batch));
+            case 1 -> store.create(number, batch);
+            default -> {
+                store.create(number, batch);
+                worker.apply(number, store.records.get(number));
+            }
+        }
+    }
+
+    private static void checkSeen(JobProgress worker, List<String> seen) {
+        List<ItemResult> results = worker.results(0, Integer.MAX_VALUE);
+        for (int i = 0; i < results.size(); i++) {
+            String shown = results.get(i).itemId() + " " + results.get(i).output();
+            if (i < seen.size()) {
+                assertEquals(seen.get(i), shown);
+            } else {
+                seen.add(shown);
+            }
+        }
+        assertTrue(seen.size() <= ITEMS);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
@@ -0,0 +1,105 @@
+package org.sardinelift.core.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PeerBookTest {
+    private static final long MILLI = 1_000_000;
+
+    private final PeerBook book =
+            PeerBook.create("self", Duration.ofMillis(600), Duration.ofSeconds(40));
+
+    private static Peer report(String name, long incarnation, long sequence, long atMs) {
+        return new Peer(
+                name,
+                "10.0.0.1",
+                7000,
+                "zone-" + name,
+                PeerRole.WORKER,
+                incarnation,
+                sequence,
+                3,
+                false,
+                Set.of(),
+                atMs * MILLI,
+                true);
+    }
+
+    @Test
+    void anOldReportOfOneLifeIsDropped() {
+        assertEquals(PeerBook.News.JOINED, book.onReport(report("a", 1, 5, 0)));
+        assertEquals(PeerBook.News.STALE, book.onReport(report("a", 1, 5, 1)));
+        assertEquals(PeerBook.News.STALE, book.onReport(report("a", 1, 4, 1)));
+        assertEquals(PeerBook.News.KNOWN, book.onReport(report("a", 1, 6, 2)));
+    }
+
+    @Test
+    void anewLifeBeginsItsCountAnew() {
+        book.onReport(report("a", 1, 500, 0));
+
+        assertEquals(PeerBook.News.JOINED, book.onReport(report("a", 2, 1, 1)));
+        assertEquals(PeerBook.News.STALE, book.onReport(report("a", 1, 501, 2)));
+    }
+
+    @Test
+    void aSilentPeerIsLostAndJoinsAgain() {
+        book.onReport(report("a", 1, 1, 0));
+
+        assertEquals(1, book.live(PeerRole.WORKER, 599 * MILLI).count());
+        assertEquals(0, book.live(PeerRole.WORKER, 600 * MILLI).count());
+        assertEquals(PeerBook.News.JOINED, book.onReport(report("a", 1, 2, 700)));
+    }
+
+    @Test
+    void anAddressAloneMakesNoLivePeer() {
+        assertTrue(book.onAddress("a", "10.0.0.1", 7000, 0));
+        assertFalse(book.onAddress("a", "10.0.0.1", 7000, 0));
+        assertFalse(book.onAddress("self", "10.0.0.1", 7000, 0));
+
+        assertEquals(1, book.all().size());
+        assertEquals(0, book.live(PeerRole.GATEWAY, 0).count());
+    }
+
+    @Test
+    void aLostPeerMayHaveMoved() {
+        book.onReport(report("a", 1, 1, 0));
+        book.onAddress("a", "10.0.0.9", 7000, 100 * MILLI);
+        assertEquals("10.0.0.1", book.all().iterator().next().host());
+
+        book.onAddress("a", "10.0.0.9", 7000, 700 * MILLI);
+        assertEquals("10.0.0.9", book.all().iterator().next().host());
+    }
+
+    @Test
+    void peersOfTheZoneAreAskedFirst() {
+        book.onReport(report("a", 1, 1, 0));
+        book.onReport(report("b", 1, 1, 0));
+        book.onReport(report("c", 1, 1, 0));
+
+        assertEquals("b", book.inOrder(PeerRole.WORKER, "zone-b", 1, 0).get(0).name());
+        assertEquals(3, book.inOrder(PeerRole.WORKER, "zone-b", 1, 0).size());
+    }
+
+    @Test
+    void silentPeersAreForgottenInTheEnd() {
+        book.onReport(report("a", 1, 1, 0));
+
+        assertEquals(List.of(), book.forgetSilent(39_999 * MILLI));
+        assertEquals(List.of("a"), book.forgetSilent(40_000 * MILLI));
+    }
+
+    @Test
+    void theNewestConfigurationIsFound() {
+        book.onReport(report("a", 1, 1, 0));
+
+        assertTrue(book.withNewerPlan(2, 0).isPresent());
+        assertTrue(book.withNewerPlan(3, 0).isEmpty());
+        assertTrue(book.withNewerPlan(2, 600 * MILLI).isEmpty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/stream/EventReaderTest.java
@@ -0,0 +1,117 @@
+package org.sardinelift.core.stream;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class EventReaderTest {
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void holdsBackAPartOfAnEvent() {
+        EventReader reader = EventReader.fromStart();
+
+        assertEquals(List.of(), reader.read(bytes("id: 1\ndata: a")));
+        assertTrue(reader.isWithinEvent());
+        List<StreamEvent> events = reader.read(bytes("b\n\nid: 2\n"));
+
+        assertEquals(1, events.size());
+        assertEquals("ab", events.get(0).data());
+        assertArrayEquals(bytes("id: 1\ndata: ab\n\n"), events.get(0).raw());
+        assertTrue(reader.isWithinEvent());
+    }
+
+    @Test
+    void joinsDataLinesAndPassesOtherLinesOn() {
+        EventReader reader = EventReader.fromStart();
+
+        List<StreamEvent> events =
+                reader.read(bytes("x-versions: 3\nid: 7\ndata: a\ndata: b\r\n\r\n"));
+
+        assertEquals("a\nb", events.get(0).data());
+        assertEquals(7, events.get(0).id());
+        assertFalse(reader.isWithinEvent());
+    }
+
+    @Test
+    void aStreamThatGoesOnMustGoOnWhereItStopped() {
+        EventReader reader = EventReader.after(4);
+
+        assertEquals(1, reader.read(bytes("id: 5\ndata: a\n\n")).size());
+        assertEquals(0, reader.read(bytes("id: 7\ndata: a\n\n")).size());
+        assertEquals("event 7 follows event 5", reader.fault().orElseThrow());
+        assertEquals(5, reader.lastId().orElseThrow());
+    }
+
+    @Test
+    void aRepeatedEventIsAFault() {
+        EventReader reader = EventReader.after(4);
+
+        assertEquals(0, reader.read(bytes("id: 4\ndata: a\n\n")).size());
+        assertTrue(reader.fault().isPresent());
+    }
+
+    @Test
+    void anEventWithoutANumberIsAFault() {
+        EventReader reader = EventReader.fromStart();
+
+        assertEquals(0, reader.read(bytes("data: a\n\n")).size());
+        assertEquals("an event has no number", reader.fault().orElseThrow());
+    }
+
+    @Test
+    void bytesThatAreNoTextAreAFault() {
+        EventReader reader = EventReader.fromStart();
+        byte[] event = bytes("id: 1\ndata: abc\n\n");
+        event[12] = (byte) 0xff;
+
+        assertEquals(0, reader.read(event).size());
+        assertEquals("an event is not UTF-8", reader.fault().orElseThrow());
+    }
+
+    @Test
+    void nothingIsTakenAfterAFault() {
+        EventReader reader = EventReader.fromStart();
+
+        assertEquals(0, reader.read(bytes("data: a\n\nid: 1\ndata: b\n\n")).size());
+        assertEquals(0, reader.read(bytes("id: 2\ndata: b\n\n")).size());
+    }
+
+    @Property(tries = 200)
+    void howeverTheBytesAreCutTheEventsAreTheSame(@ForAll long seed) {
+        Random random = new Random(seed);
+        ByteArrayOutputStream stream = new ByteArrayOutputStream();
+        int count = 1 + random.nextInt(20);
+        for (int id = 1; id <= count; id++) {
+            stream.writeBytes(bytes("id: " + id + "\ndata: ä" + "x".repeat(random.nextInt(30))));
+            stream.writeBytes(bytes("\n\n"));
+        }
+        byte[] whole = stream.toByteArray();
+        EventReader reader = EventReader.fromStart();
+        List<StreamEvent> events = new ArrayList<>();
+        int from = 0;
+        while (from < whole.length) {
+            int to = Math.min(whole.length, from + 1 + random.nextInt(25));
+            events.addAll(reader.read(Arrays.copyOfRange(whole, from, to)));
+            from = to;
+        }
+
+        assertEquals(count, events.size());
+        ByteArrayOutputStream passed = new ByteArrayOutputStream();
+        events.forEach(event -> passed.writeBytes(event.raw()));
+        assertArrayEquals(whole, passed.toByteArray());
+    }
+}
