--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -74,7 +74,7 @@
                         table,
                         node.network(),
                         node.plans());
-        this.internal = node.serveInternal(Node::refuseUnknown);
+        this.internal = node.serveInternal(table, Node::refuseUnknown);
         this.ready = bind(settings.ready(), HttpLimits::defaults, this::answerReady);
         this.callers = bind(settings.caller(), this::limits, gate.handler());
         node.start(
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -11,6 +11,7 @@
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.ServingPlan;
 import org.sardinelift.core.plan.TargetEntry;
+import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.InstanceFeed;
 import org.sardinelift.gateway.feed.PeerSnapshots;
 import org.sardinelift.gateway.feed.PlanFeed;
@@ -42,6 +43,7 @@
 
     private static final int MAX_QUEUED_STORE_CALLS = 2_000;
     private static final String METRICS_PATH = "/metrics";
+    private static final String STATUS_PATH = "/status";
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
 
@@ -138,8 +140,8 @@
         loop.execute(() -> listener.onTargets(entries));
     }
 
-    /** Serves the internal port: snapshots, metrics, and what the role adds. */
-    HttpServer serveInternal(HttpHandler role) throws BindException {
+    /** Serves the internal port: snapshots, status, metrics, and what the role adds. */
+    HttpServer serveInternal(TargetTable table, HttpHandler role) throws BindException {
         return HttpServer.start(
                 group,
                 settings.internal().host(),
@@ -147,7 +149,11 @@
                 HttpLimits.defaults(),
                 null,
                 exchange -> {
-                    if (!snapshots.handle(exchange) && !handleMetrics(exchange)) {
+                    boolean handled =
+                            snapshots.handle(exchange)
+                                    || handleMetrics(exchange)
+                                    || handleStatus(exchange, table);
+                    if (!handled) {
                         role.handle(exchange);
                     }
                 });
@@ -161,6 +167,17 @@
         return true;
     }
 
+    private boolean handleStatus(HttpExchange exchange, TargetTable table) {
+        if (!exchange.path().equals(STATUS_PATH)) {
+            return false;
+        }
+        exchange.respondJson(
+                OK,
+                StatusReport.of(
+                        settings.instance(), plans.version(), contact, targets, network, table));
+        return true;
+    }
+
     static void refuseUnknown(HttpExchange exchange) {
         exchange.respondJson(NOT_FOUND, "{\"detail\":\"no such call\"}");
     }
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -0,0 +1,68 @@
+package org.sardinelift.gateway;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
+import java.util.concurrent.TimeUnit;
+import org.sardinelift.core.load.Use;
+import org.sardinelift.core.peer.Peer;
+import org.sardinelift.gateway.call.TargetTable;
+import org.sardinelift.gateway.feed.StoreContact;
+import org.sardinelift.gateway.feed.TargetFeed;
+import org.sardinelift.gateway.peer.PeerNetwork;
+
+/** What an instance believes at one moment, for operators. On the event loop. */
+final class StatusReport {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private StatusReport() {}
+
+    static String of(
+            String instance,
+            long planVersion,
+            StoreContact contact,
+            TargetFeed feed,
+            PeerNetwork network,
+            TargetTable table) {
+        long now = System.nanoTime();
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("instance", instance);
+        root.put("plan", planVersion);
+        root.put("storeAnswers", contact.answers());
+        root.put("targetsRevision", feed.snapshot().revision());
+        ArrayNode peers = root.putArray("peers");
+        network.book().all().stream()
+                .sorted(Comparator.comparing(Peer::name))
+                .forEach(
+                        peer ->
+                                peers.addObject()
+                                        .put("name", peer.name())
+                                        .put("role", peer.role().label())
+                                        .put("live", network.book().isLive(peer, now))
+                                        .put("plan", peer.planVersion())
+                                        .put("silentMs", millis(now - peer.heardAt())));
+        ArrayNode targets = root.putArray("targets");
+        table.all().stream()
+                .sorted(Comparator.comparing(TargetTable.Target::id))
+                .forEach(
+                        target -> {
+                            Use use = network.board().use(target.id(), now);
+                            targets.addObject()
+                                    .put("id", target.id())
+                                    .put("zone", target.entry().zone())
+                                    .put("leaving", target.entry().leaving())
+                                    .put("usable", target.health().isUsable(now))
+                                    .put("slots", target.entry().slots())
+                                    .put("online", use.online())
+                                    .put("batch", use.batch())
+                                    .put("ownOnline", network.board().ownUse(target.id()).online())
+                                    .put("ownBatch", network.board().ownUse(target.id()).batch());
+                        });
+        return root.toString();
+    }
+
+    private static long millis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -61,6 +61,7 @@
                         settings.keepJobs());
         this.internal =
                 node.serveInternal(
+                        table,
                         exchange -> {
                             if (!worker.handle(exchange)) {
                                 Node.refuseUnknown(exchange);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -267,7 +267,8 @@
         if (failed) {
             forwarding.table().onFailure(from.target());
         }
-        boolean again = failed && call.route().mayRepeat() && canSendAgain(RunOutcome.RUN);
+        boolean again =
+                failed && call.route().mayRepeat() && canSendAgain(RunOutcome.RUN, runs + 1);
         if (again || headPassed) {
             onAttemptFailed(from, RunOutcome.RUN, "status " + from.status());
             return;
@@ -296,18 +297,16 @@
                 .with("load_online", from.load().use().online())
                 .with("load_batch", from.load().use().batch())
                 .info();
-        if (canSendAgain(outcome)) {
+        if (canSendAgain(overall, runs)) {
             place();
         } else {
             fail(reason);
         }
     }
 
-    private boolean canSendAgain(RunOutcome outcome) {
-        int runsAfter = outcome == RunOutcome.RUN ? runs + 1 : runs;
-        boolean repeatable = overall.and(outcome).allowsRetry(call.route().mayRepeat());
-        return repeatable
-                && runsAfter < call.route().maxAttempts()
+    private boolean canSendAgain(RunOutcome soFar, int runsSoFar) {
+        return soFar.allowsRetry(call.route().mayRepeat())
+                && runsSoFar < call.route().maxAttempts()
                 && sends < MAX_SENDS
                 && (!headPassed || call.route().resumable())
                 && !timeLeft(forwarding.now()).isZero();
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
@@ -127,7 +127,12 @@
         if (done) {
             Event.of("instance.registered").with("address", address.toString()).info();
         }
-        control.schedule(done ? INTERVAL : RETRY, this::list);
+        if (done) {
+            // Of instances that register at the same time, each sees those that did so before it.
+            list();
+        } else {
+            control.schedule(RETRY, this::list);
+        }
     }
 
     private String value() {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -350,6 +350,7 @@
         running.computeIfAbsent(run.target(), key -> new ArrayList<>()).add(run);
         network.board().onOwn(run.target().id(), ONE_ITEM);
         network.changed();
+        WorkerMetrics.running(runs().size());
         run.start(client, httpCall(run), now);
     }
 
@@ -388,6 +389,7 @@
     }
 
     private void stop(ItemRun run, String reason) {
+        WorkerMetrics.runEnded("stopped");
         run.cancel();
         release(run, reason);
     }
@@ -404,6 +406,7 @@
         run.item().running(false);
         network.board().onOwn(run.target().id(), ONE_ITEM_LESS);
         network.changed();
+        WorkerMetrics.running(runs().size());
         Event.of("item.run_ended")
                 .with("job", run.due().job().spec().id())
                 .with("item", run.item().item().id())
@@ -421,6 +424,7 @@
 
     /** The target ran the item to its end. */
     void onDone(ItemRun run) {
+        WorkerMetrics.runEnded("done");
         release(run, "done");
         JobProgress job = run.due().job();
         job.onResult(ItemResult.completed(run.item().item().id(), run.item().output()));
@@ -430,6 +434,7 @@
 
     /** The target refused the item without running it. */
     void onRefused(ItemRun run, String reason) {
+        WorkerMetrics.runEnded("refused");
         release(run, reason);
         run.item().notBefore(System.nanoTime() + AFTER_REFUSAL.toNanos());
         pumpLater(AFTER_REFUSAL);
@@ -437,6 +442,7 @@
 
     /** The target ran the item and failed. */
     void onFailed(ItemRun run, int status, boolean hopeless) {
+        WorkerMetrics.runEnded("failed");
         release(run, "status " + status);
         int failures = run.item().onFailedRun();
         run.item().restart();
@@ -450,6 +456,7 @@
 
     /** The run broke off; the item goes on from its last event. */
     void onCut(ItemRun run, String reason) {
+        WorkerMetrics.runEnded("cut");
         release(run, reason);
         int cuts = run.item().onCut();
         long pause =
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRecorder.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRecorder.java
@@ -61,6 +61,8 @@
     private void onResult(JobProgress job, int number, List<ItemResult> batch, WriteResult result) {
         if (result instanceof WriteResult.Written) {
             book.onRecord(job, number, batch);
+            long ageMs = System.currentTimeMillis() - job.spec().submittedMs();
+            batch.forEach(each -> WorkerMetrics.recorded(ageMs));
             Event.of("job.recorded")
                     .with("job", job.spec().id())
                     .with("record", number)
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -121,6 +121,7 @@
     }
 
     private void onStored(HttpExchange exchange, JobSpec spec, JobStorage.Created created) {
+        WorkerMetrics.submitted(created.name().toLowerCase(java.util.Locale.ROOT));
         Event.of("job.submitted")
                 .with("job", spec.id())
                 .with("team", spec.team())
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/WorkerMetrics.java
@@ -0,0 +1,52 @@
+package org.sardinelift.gateway.job;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+
+/** Metrics of the jobs of a worker. */
+final class WorkerMetrics {
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private static final Gauge RUNNING =
+            Gauge.builder()
+                    .name("sardinelift_worker_items_running")
+                    .help("Items that targets run for this worker")
+                    .register();
+    private static final Counter RUNS =
+            Counter.builder()
+                    .name("sardinelift_worker_runs_total")
+                    .help("Runs of items, by how they ended")
+                    .labelNames("end")
+                    .register();
+    private static final Counter JOBS =
+            Counter.builder()
+                    .name("sardinelift_worker_submissions_total")
+                    .help("Submissions of jobs, by what became of them")
+                    .labelNames("stored")
+                    .register();
+    private static final Histogram RECORDED =
+            Histogram.builder()
+                    .name("sardinelift_worker_result_age_seconds")
+                    .help("Time from the submission of a job to the record of a result")
+                    .classicUpperBounds(2, 5, 8, 12, 15, 18, 25, 40, 60)
+                    .register();
+
+    private WorkerMetrics() {}
+
+    static void running(int items) {
+        RUNNING.set(items);
+    }
+
+    static void runEnded(String end) {
+        RUNS.labelValues(end).inc();
+    }
+
+    static void submitted(String stored) {
+        JOBS.labelValues(stored).inc();
+    }
+
+    static void recorded(long ageMs) {
+        RECORDED.observe(ageMs / MILLIS_PER_SECOND);
+    }
+}
