--- a/core/src/main/java/org/sardinelift/core/peer/Peer.java
+++ b/core/src/main/java/org/sardinelift/core/peer/Peer.java
@@ -1,5 +1,6 @@
 package org.sardinelift.core.peer;
 
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -15,6 +16,11 @@
  * @param planVersion version of the configuration that it serves by
  * @param leaving whether it is about to stop
  * @param jobs hashes of the jobs that it runs
+ * @param planReadAt when it confirmed the configuration with the store itself, nanoseconds; empty
+ *     where it never did
+ * @param targetsReadAt when it read the targets from the store itself, nanoseconds; empty where it
+ *     never did
+ * @param targetsChanged revision at which the targets that it holds had changed last
  * @param heardAt when its last report came, nanoseconds
  * @param heard whether any report has come
  */
@@ -29,6 +35,9 @@
         long planVersion,
         boolean leaving,
         Set<Long> jobs,
+        OptionalLong planReadAt,
+        OptionalLong targetsReadAt,
+        long targetsChanged,
         long heardAt,
         boolean heard) {
 
@@ -43,7 +52,21 @@
      */
     public static Peer unheard(String name, String host, int port, long now) {
         return new Peer(
-                name, host, port, "", PeerRole.GATEWAY, 0, 0, 0, false, Set.of(), now, false);
+                name,
+                host,
+                port,
+                "",
+                PeerRole.GATEWAY,
+                0,
+                0,
+                0,
+                false,
+                Set.of(),
+                OptionalLong.empty(),
+                OptionalLong.empty(),
+                0,
+                now,
+                false);
     }
 
     Peer at(String newHost, int newPort) {
@@ -58,6 +81,9 @@
                 planVersion,
                 leaving,
                 jobs,
+                planReadAt,
+                targetsReadAt,
+                targetsChanged,
                 heardAt,
                 heard);
     }
--- a/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 /**
@@ -166,6 +168,26 @@
         return order;
     }
 
+    /**
+     * Whether another instance of a zone reads something from the store for this one: a live peer
+     * whose name comes before this one's and whose own last read is recent. Where that peer is lost
+     * or can't read, the next one reads, and each goes back when it sees an earlier one read again.
+     *
+     * @param zone the zone
+     * @param readAt when a peer read it last
+     * @param limit age from which a read is too old to rely on
+     * @param now the time
+     * @return true where this instance need not read it
+     */
+    public boolean isReadByOther(
+            String zone, Function<Peer, OptionalLong> readAt, Duration limit, long now) {
+        return peers.values().stream()
+                .filter(peer -> isLive(peer, now) && !peer.leaving())
+                .filter(peer -> peer.zone().equals(zone) && peer.name().compareTo(self) < 0)
+                .map(readAt)
+                .anyMatch(at -> at.isPresent() && now - at.getAsLong() < limit.toNanos());
+    }
+
     /**
      * The live peer with the newest configuration, where it is newer than a version.
      *
--- a/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
+++ b/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -16,6 +17,11 @@
             PeerBook.create("self", Duration.ofMillis(600), Duration.ofSeconds(40));
 
     private static Peer report(String name, long incarnation, long sequence, long atMs) {
+        return report(name, incarnation, sequence, atMs, OptionalLong.empty());
+    }
+
+    private static Peer report(
+            String name, long incarnation, long sequence, long atMs, OptionalLong readAt) {
         return new Peer(
                 name,
                 "10.0.0.1",
@@ -27,6 +33,9 @@
                 3,
                 false,
                 Set.of(),
+                readAt,
+                OptionalLong.empty(),
+                0,
                 atMs * MILLI,
                 true);
     }
@@ -94,6 +103,38 @@
         assertEquals(List.of("a"), book.forgetSilent(40_000 * MILLI));
     }
 
+    private boolean isReadByOther(String zone, long atMs) {
+        return book.isReadByOther(zone, Peer::planReadAt, Duration.ofMillis(500), atMs * MILLI);
+    }
+
+    @Test
+    void oneInstanceOfAZoneReadsForTheOthers() {
+        book.onReport(report("a", 1, 1, 100, OptionalLong.of(50 * MILLI)));
+
+        assertTrue(isReadByOther("zone-a", 100));
+        assertFalse(isReadByOther("zone-b", 100));
+        assertFalse(isReadByOther("zone-a", 550), "its read is too old");
+    }
+
+    @Test
+    void thoseThatComeLaterOrDoNotReadThemselvesAreNotReliedOn() {
+        book.onReport(report("z", 1, 1, 100, OptionalLong.of(50 * MILLI)));
+        book.onReport(report("a", 1, 1, 100));
+
+        assertFalse(isReadByOther("zone-z", 100));
+        assertFalse(isReadByOther("zone-a", 100));
+    }
+
+    @Test
+    void aLostReaderIsNotReliedOn() {
+        book.onReport(report("a", 1, 1, 100, OptionalLong.of(100 * MILLI)));
+
+        assertTrue(
+                book.isReadByOther("zone-a", Peer::planReadAt, Duration.ofSeconds(5), 699 * MILLI));
+        assertFalse(
+                book.isReadByOther("zone-a", Peer::planReadAt, Duration.ofSeconds(5), 700 * MILLI));
+    }
+
     @Test
     void theNewestConfigurationIsFound() {
         book.onReport(report("a", 1, 1, 0));
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -85,10 +85,14 @@
         this.control = ControlThread.start("control");
         this.client = HttpClient.createPlaintext(group, CONNECT_TIMEOUT, CONNECTION_IDLE);
         this.store = store(adapter);
-        this.plans = PlanFeed.of(adapter, store, control, contact, this::onPlan);
-        this.targets = TargetFeed.of(adapter, store, control, contact, this::onTargets);
-        this.network = PeerNetwork.bind(settings, role, loop, plans::version);
-        this.snapshots = PeerSnapshots.of(network, client, loop, control, plans, targets);
+        this.network = PeerNetwork.bind(settings, role, loop, new StoreKnowledge());
+        this.plans =
+                PlanFeed.of(adapter, store, control, contact, network::readsPlan, this::onPlan);
+        this.targets =
+                TargetFeed.of(
+                        adapter, store, control, contact, network::readsTargets, this::onTargets);
+        this.snapshots =
+                PeerSnapshots.of(settings.zone(), network, client, loop, control, plans, targets);
         this.instances =
                 InstanceFeed.of(
                         settings.instance(),
@@ -105,6 +109,29 @@
         return new Node(settings, role, adapter);
     }
 
+    /** The feeds as the reports show them. */
+    private final class StoreKnowledge implements PeerNetwork.Knowledge {
+        @Override
+        public long planVersion() {
+            return plans.version();
+        }
+
+        @Override
+        public long planReadAt() {
+            return plans.confirmedAt();
+        }
+
+        @Override
+        public long targetsReadAt() {
+            return targets.listedAt();
+        }
+
+        @Override
+        public long targetsChanged() {
+            return targets.snapshot().changed();
+        }
+    }
+
     private ObjectStore store(Adapter adapter) {
         ObjectStore http =
                 HttpObjectStore.create(
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PeerSnapshots.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PeerSnapshots.java
@@ -44,16 +44,20 @@
     private final ControlThread control;
     private final PlanFeed plan;
     private final TargetFeed targets;
+    private final String zone;
     private boolean fetchingPlan;
+    private boolean fetchingTargets;
     private long asked;
 
     private PeerSnapshots(
+            String zone,
             PeerNetwork network,
             HttpClient client,
             EventLoop loop,
             ControlThread control,
             PlanFeed plan,
             TargetFeed targets) {
+        this.zone = zone;
         this.network = network;
         this.client = client;
         this.loop = loop;
@@ -65,6 +69,7 @@
     /**
      * Makes the exchange of snapshots.
      *
+     * @param zone availability zone of this instance
      * @param network the other instances
      * @param client sends the calls
      * @param loop the event loop of traffic
@@ -74,13 +79,14 @@
      * @return the exchange, not started
      */
     public static PeerSnapshots of(
+            String zone,
             PeerNetwork network,
             HttpClient client,
             EventLoop loop,
             ControlThread control,
             PlanFeed plan,
             TargetFeed targets) {
-        return new PeerSnapshots(network, client, loop, control, plan, targets);
+        return new PeerSnapshots(zone, network, client, loop, control, plan, targets);
     }
 
     /** Starts to compare with peers. */
@@ -118,6 +124,7 @@
 
     @Override
     public void onReport(Peer peer, boolean joined) {
+        noteTargets(peer);
         if (peer.planVersion() > plan.version() && !fetchingPlan) {
             fetchingPlan = true;
             get(peer, PLAN_PATH)
@@ -132,6 +139,25 @@
         }
     }
 
+    /** A near peer's newer targets are fetched at once; equal ones are known to be current. */
+    private void noteTargets(Peer peer) {
+        TargetFeed.Snapshot held = targets.snapshot();
+        if (peer.targetsReadAt().isEmpty()) {
+            return;
+        }
+        long readAt = peer.targetsReadAt().getAsLong();
+        boolean isNewer = readAt - held.readAt() > 0;
+        if (isNewer && peer.targetsChanged() == held.changed()) {
+            control.execute(() -> targets.confirm(held.changed(), readAt));
+        } else if (isNewer
+                && peer.zone().equals(zone)
+                && peer.targetsChanged() > held.changed()
+                && !fetchingTargets) {
+            fetchingTargets = true;
+            askForTargets(peer);
+        }
+    }
+
     private void lookAtTargets() {
         loop.schedule(this::lookAtTargets, ASK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         if (targets.ageNanos() < OLD.toNanos()) {
@@ -156,6 +182,7 @@
         get(peer, TARGETS_PATH)
                 .whenComplete(
                         (answer, error) -> {
+                            fetchingTargets = false;
                             if (answer != null && answer.status() == OK) {
                                 long receivedAt = System.nanoTime();
                                 control.execute(() -> takeTargets(peer, answer.text(), receivedAt));
@@ -166,8 +193,7 @@
     private void takeTargets(Peer peer, String text, long receivedAt) {
         try {
             TargetFeed.Snapshot theirs = SnapshotJson.read(text, receivedAt);
-            targets.offer(
-                    theirs.objects(), theirs.revision(), theirs.readAt(), "peer " + peer.name());
+            targets.offer(theirs, "peer " + peer.name());
         } catch (JsonProcessingException e) {
             Event.of("targets.unreadable")
                     .with("peer", peer.name())
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
@@ -20,17 +20,22 @@
  */
 public final class PlanFeed {
     /** Short enough that a watch whose connection fell silent is noticed within the bound. */
-    private static final Duration WATCH_WAIT = Duration.ofMillis(2_000);
+    private static final Duration WATCH_WAIT = Duration.ofMillis(1_000);
 
     private static final Duration RETRY = Duration.ofMillis(250);
     private static final Duration PAUSE = Duration.ofMillis(20);
 
+    /** Time between looks whether another instance still reads; a part of the bound for changes. */
+    private static final Duration LOOK = Duration.ofMillis(100);
+
     private final Adapter adapter;
     private final ObjectStore store;
     private final ControlThread control;
     private final StoreContact contact;
     private final Consumer<ServingPlan> listener;
+    private final ReadDuty duty;
     private volatile @Nullable Held held;
+    private volatile long confirmedAt;
 
     /**
      * A configuration as it was stored.
@@ -45,7 +50,9 @@
             ObjectStore store,
             ControlThread control,
             StoreContact contact,
+            ReadDuty duty,
             Consumer<ServingPlan> listener) {
+        this.duty = duty;
         this.adapter = adapter;
         this.store = store;
         this.control = control;
@@ -60,6 +67,7 @@
      * @param store the platform's store
      * @param control the control thread
      * @param contact notes whether the store answers
+     * @param duty whether this instance watches the store itself
      * @param listener takes each newer plan, on the control thread
      * @return the feed, not started
      */
@@ -68,8 +76,9 @@
             ObjectStore store,
             ControlThread control,
             StoreContact contact,
+            ReadDuty duty,
             Consumer<ServingPlan> listener) {
-        return new PlanFeed(adapter, store, control, contact, listener);
+        return new PlanFeed(adapter, store, control, contact, duty, listener);
     }
 
     /** Starts to read and watch. */
@@ -96,6 +105,15 @@
         return now == null ? 0 : now.plan().version();
     }
 
+    /**
+     * When the store itself confirmed to this instance that nothing newer is there.
+     *
+     * @return the time, nanoseconds; 0 where it never did; safe for any thread
+     */
+    public long confirmedAt() {
+        return confirmedAt;
+    }
+
     /**
      * Takes a stored value, from wherever it came.
      *
@@ -127,11 +145,16 @@
     }
 
     private void read() {
-        store.read(adapter.planKey()).thenAcceptAsync(this::onRead, control::execute);
+        long askedAt = System.nanoTime();
+        store.read(adapter.planKey())
+                .thenAcceptAsync(result -> onRead(result, askedAt), control::execute);
     }
 
-    private void onRead(ReadResult result) {
+    private void onRead(ReadResult result, long askedAt) {
         contact.note(result);
+        if (!(result instanceof ReadResult.Unavailable)) {
+            confirmedAt = askedAt;
+        }
         if (result instanceof ReadResult.Found found) {
             offer(found.object().value(), "store");
             watch(found.object().revision());
@@ -143,13 +166,28 @@
     }
 
     private void watch(long after) {
+        if (held != null && !duty.isDue()) {
+            control.schedule(LOOK, this::look);
+            return;
+        }
+        long askedAt = System.nanoTime();
         store.watch(Set.of(adapter.planKey().kind()), after, WATCH_WAIT)
-                .thenAcceptAsync(result -> onWatch(result, after), control::execute);
+                .thenAcceptAsync(result -> onWatch(result, after, askedAt), control::execute);
+    }
+
+    /** After a time without watching, changes may have been missed: the object is read first. */
+    private void look() {
+        if (duty.isDue()) {
+            read();
+        } else {
+            control.schedule(LOOK, this::look);
+        }
     }
 
-    private void onWatch(WatchResult result, long after) {
+    private void onWatch(WatchResult result, long after, long askedAt) {
         contact.note(result);
         if (result instanceof WatchResult.Changes changes) {
+            confirmedAt = askedAt;
             changes.changes().stream()
                     .filter(change -> change.key().equals(adapter.planKey()))
                     .map(WatchResult.Change::object)
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/SnapshotJson.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/SnapshotJson.java
@@ -22,6 +22,7 @@
         ObjectNode root = MAPPER.createObjectNode();
         long ageNanos = System.nanoTime() - snapshot.readAt();
         root.put("revision", snapshot.revision());
+        root.put("changed", snapshot.changed());
         root.put("ageMs", TimeUnit.NANOSECONDS.toMillis(ageNanos));
         ArrayNode objects = root.putArray("objects");
         snapshot.objects()
@@ -52,6 +53,9 @@
                                                 node.path("value").asText())));
         long ageNanos = TimeUnit.MILLISECONDS.toNanos(root.path("ageMs").asLong());
         return new TargetFeed.Snapshot(
-                objects, root.path("revision").asLong(), receivedAt - ageNanos);
+                objects,
+                root.path("revision").asLong(),
+                root.path("changed").asLong(),
+                receivedAt - ageNanos);
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
@@ -24,13 +24,19 @@
  */
 public final class TargetFeed {
     /** Half of the time in which a leaving target must get no more calls, less some slack. */
-    private static final Duration INTERVAL = Duration.ofMillis(800);
+    private static final Duration INTERVAL = Duration.ofMillis(700);
 
     private static final Duration RETRY = Duration.ofMillis(300);
 
+    /** Time between looks whether another instance still reads. */
+    private static final Duration LOOK = Duration.ofMillis(100);
+
     /** Targets whose entries lapsed while the store was away register again within 2 s. */
     private static final Duration REGISTER_AGAIN = Duration.ofMillis(2_200);
 
+    /** Stands for the revision of the last change in a list that was read here. */
+    private static final long OWN_LIST = -1;
+
     private final Adapter adapter;
     private final ObjectStore store;
     private final ControlThread control;
@@ -38,23 +44,28 @@
     private final Consumer<Map<String, TargetEntry>> listener;
     private final TargetRoll roll = TargetRoll.empty();
     private final Map<String, String> reportedUnreadable = new HashMap<>();
-    private volatile Snapshot snapshot = new Snapshot(List.of(), 0, 0);
+    private final ReadDuty duty;
+    private volatile Snapshot snapshot = new Snapshot(List.of(), 0, 0, 0);
+    private volatile long listedAt;
 
     /**
      * A list as it was stored.
      *
      * @param objects the entries
      * @param revision revision of the store that it shows
+     * @param changed revision at which the entries had changed last
      * @param readAt when it was asked for, nanoseconds; 0 before the first
      */
-    public record Snapshot(List<StoredObject> objects, long revision, long readAt) {}
+    public record Snapshot(List<StoredObject> objects, long revision, long changed, long readAt) {}
 
     private TargetFeed(
             Adapter adapter,
             ObjectStore store,
             ControlThread control,
             StoreContact contact,
+            ReadDuty duty,
             Consumer<Map<String, TargetEntry>> listener) {
+        this.duty = duty;
         this.adapter = adapter;
         this.store = store;
         this.control = control;
@@ -69,6 +80,7 @@
      * @param store the platform's store
      * @param control the control thread
      * @param contact notes whether the store answers
+     * @param duty whether this instance lists them itself
      * @param listener takes the targets after each change, on the control thread
      * @return the feed, not started
      */
@@ -77,8 +89,9 @@
             ObjectStore store,
             ControlThread control,
             StoreContact contact,
+            ReadDuty duty,
             Consumer<Map<String, TargetEntry>> listener) {
-        return new TargetFeed(adapter, store, control, contact, listener);
+        return new TargetFeed(adapter, store, control, contact, duty, listener);
     }
 
     /** Starts to list. */
@@ -105,21 +118,45 @@
         return readAt == 0 ? Long.MAX_VALUE : System.nanoTime() - readAt;
     }
 
+    /**
+     * When this instance itself listed the targets last.
+     *
+     * @return the time, nanoseconds; 0 where it never did; safe for any thread
+     */
+    public long listedAt() {
+        return listedAt;
+    }
+
+    /**
+     * A peer that holds the same entries has read them lately: they are known to be current.
+     *
+     * @param changed revision at which the peer's entries had changed last
+     * @param readAt when it read them, nanoseconds of this process
+     */
+    public void confirm(long changed, long readAt) {
+        Snapshot held = snapshot;
+        if (held.changed() == changed && held.readAt() != 0 && readAt - held.readAt() > 0) {
+            snapshot = new Snapshot(held.objects(), held.revision(), changed, readAt);
+        }
+    }
+
     /**
      * Takes a list that a peer has read.
      *
-     * @param objects the entries
-     * @param revision revision of the store that the list shows
-     * @param readAt when it was read, nanoseconds of this process
+     * @param theirs the list
      * @param source the peer, for the log
      */
-    public void offer(List<StoredObject> objects, long revision, long readAt, String source) {
-        if (readAt - snapshot.readAt() > 0) {
-            apply(objects, revision, readAt, source);
+    public void offer(Snapshot theirs, String source) {
+        if (theirs.readAt() - snapshot.readAt() > 0) {
+            apply(theirs, source);
         }
     }
 
     private void list() {
+        if (snapshot.readAt() != 0 && !duty.isDue()) {
+            control.schedule(LOOK, this::list);
+            return;
+        }
         long askedAt = System.nanoTime();
         store.list(adapter.targetKind(), "")
                 .thenAcceptAsync(result -> onList(result, askedAt), control::execute);
@@ -128,26 +165,43 @@
     private void onList(ListResult result, long askedAt) {
         contact.note(result);
         if (result instanceof ListResult.Listed listed) {
-            apply(listed.objects(), listed.revision(), askedAt, "store");
+            listedAt = askedAt;
+            long changed =
+                    listed.objects().equals(snapshot.objects())
+                            ? snapshot.changed()
+                            : listed.revision();
+            apply(new Snapshot(listed.objects(), listed.revision(), changed, askedAt), "store");
             control.schedule(INTERVAL, this::list);
         } else {
             control.schedule(RETRY, this::list);
         }
     }
 
-    private void apply(List<StoredObject> objects, long revision, long readAt, String source) {
+    private void apply(Snapshot list, String source) {
         List<TargetEntry> readable = new ArrayList<>();
         Set<String> unreadable = new HashSet<>();
-        objects.forEach(object -> decode(object, readable, unreadable));
+        list.objects().forEach(object -> decode(object, readable, unreadable));
         boolean keepMissing = contact.sinceRegainedNanos() < REGISTER_AGAIN.toNanos();
         Map<String, TargetEntry> before = roll.entries();
-        if (!roll.apply(readable, unreadable, revision, keepMissing)) {
-            Event.of("targets.stale").with("revision", revision).with("source", source).warn();
+        if (!roll.apply(readable, unreadable, list.revision(), keepMissing)) {
+            Event.of("targets.stale")
+                    .with("revision", list.revision())
+                    .with("source", source)
+                    .warn();
             return;
         }
-        snapshot = new Snapshot(objects, revision, readAt);
-        logChanges(before, roll.entries(), source);
-        listener.accept(roll.entries());
+        boolean isChanged = !roll.entries().equals(before);
+        long changed = isChanged ? list.revision() : snapshot.changed();
+        snapshot =
+                new Snapshot(
+                        list.objects(),
+                        list.revision(),
+                        list.changed() == OWN_LIST ? changed : list.changed(),
+                        list.readAt());
+        if (isChanged) {
+            logChanges(before, roll.entries(), source);
+            listener.accept(roll.entries());
+        }
     }
 
     private void decode(StoredObject object, List<TargetEntry> readable, Set<String> unreadable) {
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -11,9 +11,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.sardinelift.core.load.LoadBoard;
@@ -59,13 +59,22 @@
     /** Reports after which a team's count is named again, for those that missed one. */
     private static final int REPEATS = 8;
 
+    /** Age of what was never read. */
+    private static final long NEVER = -1;
+
+    /** A read of the configuration older than a watch and its answer is not relied on. */
+    private static final Duration PLAN_READ = Duration.ofMillis(1_600);
+
+    /** A list of the targets older than two intervals is not relied on. */
+    private static final Duration TARGETS_READ = Duration.ofMillis(1_300);
+
     /** Each so many reports name all teams and all members. */
     private static final int FULL_REPORT = 30;
 
     private final NodeSettings settings;
     private final PeerRole role;
     private final EventLoop loop;
-    private final LongSupplier planVersion;
+    private final Knowledge knowledge;
     private final long incarnation = System.currentTimeMillis();
     private final long startedAt = System.nanoTime();
     private final PeerBook book;
@@ -84,6 +93,39 @@
     private long steadyNanos = System.nanoTime();
     private boolean flushPending;
     private boolean leaving;
+    private volatile boolean planReadByOther;
+    private volatile boolean targetsReadByOther;
+
+    /** What this instance knows from the store, for its reports; safe for any thread. */
+    public interface Knowledge {
+        /**
+         * Version of the configuration in force.
+         *
+         * @return the version, 0 before the first
+         */
+        long planVersion();
+
+        /**
+         * When the store itself confirmed the configuration.
+         *
+         * @return the time, nanoseconds; 0 where it never did
+         */
+        long planReadAt();
+
+        /**
+         * When this instance itself read the targets.
+         *
+         * @return the time, nanoseconds; 0 where it never did
+         */
+        long targetsReadAt();
+
+        /**
+         * When the targets that it holds had changed last.
+         *
+         * @return a revision of the store
+         */
+        long targetsChanged();
+    }
 
     /** Hears what reports tell; on the event loop. */
     public interface Listener {
@@ -107,13 +149,12 @@
         default void onLoads() {}
     }
 
-    private PeerNetwork(
-            NodeSettings settings, PeerRole role, EventLoop loop, LongSupplier planVersion)
+    private PeerNetwork(NodeSettings settings, PeerRole role, EventLoop loop, Knowledge knowledge)
             throws BindException {
         this.settings = settings;
         this.role = role;
         this.loop = loop;
-        this.planVersion = planVersion;
+        this.knowledge = knowledge;
         this.book = PeerBook.create(settings.instance(), SILENCE, FORGET);
         this.channel =
                 ReportChannel.bind(
@@ -129,14 +170,14 @@
      * @param settings who and where this instance is
      * @param role what it does
      * @param loop the event loop of traffic
-     * @param planVersion version of the configuration in force
+     * @param knowledge what this instance knows from the store
      * @return the network, not started
      * @throws BindException where the port is taken
      */
     public static PeerNetwork bind(
-            NodeSettings settings, PeerRole role, EventLoop loop, LongSupplier planVersion)
+            NodeSettings settings, PeerRole role, EventLoop loop, Knowledge knowledge)
             throws BindException {
-        return new PeerNetwork(settings, role, loop, planVersion);
+        return new PeerNetwork(settings, role, loop, knowledge);
     }
 
     /** Starts to report; seeds are asked who else there is. */
@@ -255,6 +296,7 @@
     private void tick() {
         long now = System.nanoTime();
         noticePause(now);
+        noteReaders(now);
         quota.noticeSilence(now);
         board.expire(now);
         for (String gone : book.forgetSilent(now)) {
@@ -272,6 +314,30 @@
         loop.schedule(this::tick, HEARTBEAT.toNanos() / 2, TimeUnit.NANOSECONDS);
     }
 
+    private void noteReaders(long now) {
+        String zone = settings.zone();
+        planReadByOther = book.isReadByOther(zone, Peer::planReadAt, PLAN_READ, now);
+        targetsReadByOther = book.isReadByOther(zone, Peer::targetsReadAt, TARGETS_READ, now);
+    }
+
+    /**
+     * Whether this instance reads the configuration from the store itself.
+     *
+     * @return false while another one of its zone does; safe for any thread
+     */
+    public boolean readsPlan() {
+        return !planReadByOther;
+    }
+
+    /**
+     * Whether this instance reads the targets from the store itself.
+     *
+     * @return false while another one of its zone does; safe for any thread
+     */
+    public boolean readsTargets() {
+        return !targetsReadByOther;
+    }
+
     /** The monotonic clock stands still while the process is suspended; the other one doesn't. */
     private void noticePause(long now) {
         long wallNow = System.currentTimeMillis();
@@ -323,7 +389,10 @@
         report.setRole(role.label());
         report.setHost(settings.internal().host());
         report.setPort(settings.internal().port());
-        report.setPlanVersion(planVersion.getAsLong());
+        report.setPlanVersion(knowledge.planVersion());
+        report.setPlanAgeMs(ageMs(knowledge.planReadAt()));
+        report.setTargetsAgeMs(ageMs(knowledge.targetsReadAt()));
+        report.setTargetsChanged(knowledge.targetsChanged());
         report.setLeaving(leaving);
         report.setUses(
                 board.ownUses().entrySet().stream()
@@ -344,6 +413,16 @@
         return report;
     }
 
+    private static long ageMs(long at) {
+        return at == 0 ? NEVER : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - at);
+    }
+
+    private static OptionalLong readAt(long ageMs, long now) {
+        return ageMs < 0
+                ? OptionalLong.empty()
+                : OptionalLong.of(now - TimeUnit.MILLISECONDS.toNanos(ageMs));
+    }
+
     private List<TeamCount> counts(boolean all) {
         quota.admitted()
                 .forEach(
@@ -398,6 +477,9 @@
                                                             death.getRequest(),
                                                             death.getTarget())));
         }
+        if (peer.zone().equals(settings.zone())) {
+            noteReaders(now);
+        }
         listeners.forEach(it -> it.onReport(peer, joined));
         listeners.forEach(Listener::onLoads);
     }
@@ -448,6 +530,9 @@
                 report.getPlanVersion(),
                 report.isLeaving(),
                 Set.copyOf(report.getJobs()),
+                readAt(report.getPlanAgeMs(), now),
+                readAt(report.getTargetsAgeMs(), now),
+                report.getTargetsChanged(),
                 now,
                 true);
     }
--- a/protocol/src/main/thrift/sardinelift.thrift
+++ b/protocol/src/main/thrift/sardinelift.thrift
@@ -305,5 +305,11 @@
   /** Instances known, in some of the reports only. */
   15: list<PeerAddress> members,
   /** Whether the receiver is to answer with a report that names its members. */
-  16: bool introduce
+  16: bool introduce,
+  /** Time since the store itself confirmed the configuration to this instance; -1 if never. */
+  17: i64 planAgeMs,
+  /** Time since this instance itself read the targets from the store; -1 if never. */
+  18: i64 targetsAgeMs,
+  /** Revision of the store at which the targets that this instance holds had changed last. */
+  19: i64 targetsChanged
 }
