--- a/entry/src/main/java/org/sardinelift/entry/EntryProcess.java
+++ b/entry/src/main/java/org/sardinelift/entry/EntryProcess.java
@@ -15,6 +15,7 @@
 import org.sardinelift.http.HttpHandler;
 import org.sardinelift.http.HttpLimits;
 import org.sardinelift.http.HttpServer;
+import org.sardinelift.objects.CountedObjectStore;
 import org.sardinelift.objects.HttpObjectStore;
 import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.objects.PacedObjectStore;
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -24,11 +24,13 @@
 import org.sardinelift.http.HttpLimits;
 import org.sardinelift.http.HttpServer;
 import org.sardinelift.objects.CallBudget;
+import org.sardinelift.objects.CountedObjectStore;
 import org.sardinelift.objects.HttpObjectStore;
 import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.objects.PacedObjectStore;
 import org.sardinelift.runtime.ControlThread;
 import org.sardinelift.runtime.Metrics;
+import org.sardinelift.runtime.log.Event;
 
 /**
  * What gateways and workers have in common: one thread for traffic and one for control, the store,
@@ -41,6 +43,9 @@
     /** Idle connections to the store and to peers; theirs close later. */
     private static final Duration CONNECTION_IDLE = Duration.ofSeconds(2);
 
+    /** Rare enough that it costs nothing, often enough to see what an outage cost. */
+    private static final Duration STORE_CALLS_LOGGED = Duration.ofSeconds(10);
+
     private static final int MAX_QUEUED_STORE_CALLS = 2_000;
     private static final String METRICS_PATH = "/metrics";
     private static final String STATUS_PATH = "/status";
@@ -53,7 +58,7 @@
     private final ControlThread control;
     private final HttpClient client;
     private final StoreContact contact = new StoreContact();
-    private final ObjectStore store;
+    private final CountedObjectStore store;
     private final PlanFeed plans;
     private final TargetFeed targets;
     private final PeerNetwork network;
@@ -132,7 +137,7 @@
         }
     }
 
-    private ObjectStore store(Adapter adapter) {
+    private CountedObjectStore store(Adapter adapter) {
         ObjectStore http =
                 HttpObjectStore.create(
                         client,
@@ -141,8 +146,15 @@
                         settings.storeTimeout(),
                         adapter.objectDialect());
         int rate = settings.storeCallsPerSecond();
-        return PacedObjectStore.over(
-                http, new CallBudget(rate, rate, MAX_QUEUED_STORE_CALLS), loop);
+        return CountedObjectStore.over(
+                PacedObjectStore.over(
+                        http, new CallBudget(rate, rate, MAX_QUEUED_STORE_CALLS), loop));
+    }
+
+    private void logStoreCalls() {
+        Event line = Event.of("store.calls");
+        store.counts().forEach((name, count) -> line.with(name, count));
+        line.info();
     }
 
     void start(Listener taking) {
@@ -152,6 +164,7 @@
         instances.start();
         snapshots.start();
         network.start();
+        control.repeat(STORE_CALLS_LOGGED, this::logStoreCalls);
     }
 
     private void onPlan(ServingPlan plan) {
