--- a/entry/src/test/java/org/sardinelift/entry/EntryMetricsTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/EntryMetricsTest.java
@@ -25,7 +25,8 @@
             String text = metrics(fixture, entry);
             List.of(
                             "sardinelift_jobs_total{decision=\"job accepted\"}",
-                            "sardinelift_platform_calls_total{call=\"write\",result=\"Written\"}",
+                            "sardinelift_platform_calls_total{call=\"write\",kind=\"job\","
+                                    + "result=\"Written\"}",
                             "sardinelift_calls_under_way ",
                             "sardinelift_jobs_held ",
                             "sardinelift_job_items_open ")
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -137,7 +137,6 @@
         }
         long wait = forwarding.network().quota().tryAdmit(allowance.get(), forwarding.now());
         if (wait == 0) {
-            forwarding.network().changed();
             return Optional.empty();
         }
         return Optional.of(Duration.ofNanos(wait));
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -149,7 +149,7 @@
         sends++;
         tried.add(target.id());
         forwarding.network().board().onOwn(target.id(), ONE_CALL);
-        forwarding.network().changed();
+        forwarding.network().changed(target.entry().zone());
         TargetAttempt next = new TargetAttempt(this, target, load, now);
         attempt = next;
         next.start(forwarding.client(), httpCall(target, now));
@@ -372,7 +372,7 @@
         attempt = null;
         GatewayMetrics.attempt(how);
         forwarding.network().board().onOwn(from.target().id(), ONE_CALL_LESS);
-        forwarding.network().changed();
+        forwarding.network().changed(from.target().entry().zone());
     }
 
     private void end(String result) {
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
@@ -27,7 +27,7 @@
     private static final Duration RETRY = Duration.ofMillis(500);
 
     /** Instances learn of a new one by its reports; the list is for those that it can't reach. */
-    private static final Duration INTERVAL = Duration.ofSeconds(10);
+    private static final Duration INTERVAL = Duration.ofSeconds(30);
 
     private final String instance;
     private final PeerRole role;
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
@@ -20,7 +20,7 @@
  */
 public final class PlanFeed {
     /** Short enough that a watch whose connection fell silent is noticed within the bound. */
-    private static final Duration WATCH_WAIT = Duration.ofMillis(1_000);
+    private static final Duration WATCH_WAIT = Duration.ofMillis(900);
 
     private static final Duration RETRY = Duration.ofMillis(250);
     private static final Duration PAUSE = Duration.ofMillis(20);
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -349,7 +349,7 @@
         run.item().running(true);
         running.computeIfAbsent(run.target(), key -> new ArrayList<>()).add(run);
         network.board().onOwn(run.target().id(), ONE_ITEM);
-        network.changed();
+        network.changed(run.target().entry().zone());
         WorkerMetrics.running(runs().size());
         run.start(client, httpCall(run), now);
     }
@@ -405,7 +405,7 @@
         }
         run.item().running(false);
         network.board().onOwn(run.target().id(), ONE_ITEM_LESS);
-        network.changed();
+        network.changed(run.target().entry().zone());
         WorkerMetrics.running(runs().size());
         Event.of("item.run_ended")
                 .with("job", run.due().job().spec().id())
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobFeed.java
@@ -13,10 +13,10 @@
 /** Follows the stored jobs: a list, then watches; after a gap the list again. On the event loop. */
 final class JobFeed {
     /** Bounds how old the knowledge is that nothing has changed. */
-    private static final Duration WATCH_WAIT = Duration.ofMillis(400);
+    private static final Duration WATCH_WAIT = Duration.ofMillis(200);
 
     /** Changes gather between two watches, each of which is a call. */
-    private static final Duration PAUSE = Duration.ofMillis(150);
+    private static final Duration PAUSE = Duration.ofMillis(380);
 
     private static final Duration RETRY = Duration.ofMillis(300);
 
--- a/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
@@ -23,7 +23,7 @@
  * it is done. Nothing that must last is on the instance. Works on the control thread.
  */
 final class RetirementWatch {
-    private static final Duration INTERVAL = Duration.ofMillis(1_500);
+    private static final Duration INTERVAL = Duration.ofMillis(2_500);
     private static final Duration RETRY = Duration.ofMillis(400);
     private static final int OK = 200;
 
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.sardinelift.core.load.LoadBoard;
@@ -38,12 +39,18 @@
  * what teams have spent. Everything but the construction runs on the event loop.
  */
 public final class PeerNetwork implements AutoCloseable {
-    /** Time in which changes gather before they are reported; a fraction of a network hop. */
+    /** Time in which changes gather for those who place calls by them; less than a network hop. */
     private static final Duration GATHER = Duration.ofMillis(2);
 
+    /** Time in which changes gather for all others; bytes between zones are dear. */
+    private static final Duration GATHER_FAR = Duration.ofMillis(40);
+
     /** Time between reports without a change. */
     private static final Duration HEARTBEAT = Duration.ofMillis(100);
 
+    /** The same for instances in other zones. */
+    private static final Duration HEARTBEAT_FAR = Duration.ofMillis(180);
+
     /** Six heartbeats: one lost datagram in a row is common, five are not. */
     private static final Duration SILENCE = Duration.ofMillis(600);
 
@@ -62,8 +69,8 @@
     /** Age of what was never read. */
     private static final long NEVER = -1;
 
-    /** A read of the configuration older than a watch and its answer is not relied on. */
-    private static final Duration PLAN_READ = Duration.ofMillis(1_600);
+    /** A confirmation of the configuration older than two watches is not relied on. */
+    private static final Duration PLAN_READ = Duration.ofMillis(2_200);
 
     /** A list of the targets older than two intervals is not relied on. */
     private static final Duration TARGETS_READ = Duration.ofMillis(1_300);
@@ -88,7 +95,10 @@
     private final List<Listener> listeners = new ArrayList<>();
     private Supplier<Collection<Long>> jobs = List::of;
     private long sequence;
+    private final Set<String> urgentZones = new HashSet<>();
     private long sentAt;
+    private long sentFarAt;
+    private boolean farPending;
     private long wallMs = System.currentTimeMillis();
     private long steadyNanos = System.nanoTime();
     private boolean flushPending;
@@ -235,14 +245,37 @@
         return quota;
     }
 
-    /** Something that others are to know at once has changed. */
+    /** Something that the others are to know soon has changed. */
     public void changed() {
+        changed(settings.zone());
+    }
+
+    /**
+     * The calls of this instance on a target have changed. Those near the target are told first:
+     * they are the ones that send calls to it.
+     *
+     * @param targetZone availability zone of the target
+     */
+    public void changed(String targetZone) {
+        urgentZones.add(targetZone);
         if (!flushPending) {
             flushPending = true;
-            loop.schedule(this::flush, GATHER.toNanos(), TimeUnit.NANOSECONDS);
+            loop.schedule(this::flushUrgent, GATHER.toNanos(), TimeUnit.NANOSECONDS);
+        }
+        if (!farPending) {
+            farPending = true;
+            loop.schedule(this::flush, GATHER_FAR.toNanos(), TimeUnit.NANOSECONDS);
         }
     }
 
+    private void flushUrgent() {
+        flushPending = false;
+        Set<String> zones = Set.copyOf(urgentZones);
+        urgentZones.clear();
+        sendTo(peer -> peer.zone().equals(settings.zone()) || zones.contains(peer.zone()));
+        sentAt = System.nanoTime();
+    }
+
     /** This instance is about to stop. */
     public void leave() {
         leaving = true;
@@ -304,8 +337,10 @@
             Event.of("peer.forgotten").with("peer", gone).info();
         }
         noticeLost(now);
-        if (now - sentAt >= HEARTBEAT.toNanos()) {
+        if (now - sentFarAt >= HEARTBEAT_FAR.toNanos()) {
             flush();
+        } else if (now - sentAt >= HEARTBEAT.toNanos()) {
+            flushUrgent();
         }
         if (book.all().isEmpty()) {
             introduceToSeeds();
@@ -365,17 +400,20 @@
     }
 
     private void flush() {
-        flushPending = false;
-        if (leaving && book.all().isEmpty()) {
+        farPending = false;
+        sendTo(peer -> true);
+        sentAt = System.nanoTime();
+        sentFarAt = sentAt;
+    }
+
+    private void sendTo(Predicate<Peer> chosen) {
+        List<Peer> receivers = book.all().stream().filter(chosen).toList();
+        if (receivers.isEmpty()) {
             return;
         }
         byte[] bytes = channel.bytes(report());
-        book.all()
-                .forEach(
-                        peer ->
-                                channel.send(
-                                        bytes, new InetSocketAddress(peer.host(), peer.port())));
-        sentAt = System.nanoTime();
+        receivers.forEach(
+                peer -> channel.send(bytes, new InetSocketAddress(peer.host(), peer.port())));
     }
 
     private PeerReport report() {
