--- a/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param caller address that callers reach
  * @param ready address at which the balancer asks whether it is ready
  * @param placementMargin part of an objective kept for what estimates of waits miss
+ * @param keptForReturners part of an objective that calls which come for the first time don't use
  * @param returnerWait longest wait for a slot of a caller that came back after a refusal
  * @param stall least silence of a target after which a call that may be repeated is moved
  * @param firstEvent usual time from a send to the first event
@@ -21,6 +22,7 @@
         Endpoint caller,
         Endpoint ready,
         Duration placementMargin,
+        Duration keptForReturners,
         Duration returnerWait,
         Duration stall,
         Duration firstEvent,
@@ -40,6 +42,8 @@
                 Endpoint.read(node, "ready"),
                 // Two network hops and the jitter of the report of a call that came before.
                 node.millis("placementMarginMs", 30),
+                // A slot of a target with eight comes free about so often.
+                node.millis("keptForReturnersMs", 60),
                 // A third of a caller's usual deadline of some seconds.
                 node.millis("returnerWaitMs", 1_000),
                 // Several times the usual pause between events, under half of the pause allowed.
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -86,6 +86,9 @@
     }
 
     void start() {
+        if (call.waited().isZero()) {
+            forwarding.returns().onNewCall(arrivedAt);
+        }
         exchange.onClose(this::onCallerGone);
         timeout =
                 forwarding
@@ -112,10 +115,13 @@
             // A stream that is late is worth more than one that breaks off.
             return call.timeout();
         }
-        Duration left = call.route().objective().minus(call.waited()).minusNanos(now - arrivedAt);
         boolean returned = !call.waited().isZero() || sends > 0;
-        Duration longest = forwarding.settings().returnerWait();
-        return returned && left.compareTo(longest) < 0 ? longest : left;
+        if (returned) {
+            return forwarding.settings().returnerWait();
+        }
+        Duration left = call.route().objective().minusNanos(now - arrivedAt);
+        // What is kept for them is what lets those who were refused once be served in time.
+        return left.minus(forwarding.settings().keptForReturners());
     }
 
     private void onNoPlace(Choice.Refuse refusal, long now) {
@@ -130,15 +136,33 @@
                         .returns()
                         .next(
                                 untilRoom,
-                                forwarding.slotInterval(now),
+                                forwarding.slotsPerSecond(now),
                                 left.dividedBy(RETURN_WITHIN_PART),
+                                call.fingerprint(),
                                 now);
         Kind kind = refusal.noTarget() ? Kind.NO_TARGET : Kind.NO_ROOM;
-        String detail = "sends " + sends + ", room expected in " + untilRoom.toMillis() + " ms";
+        String detail = noPlaceDetail(refusal, now);
         end(kind.label());
         Refusals.send(exchange, kind, call.id(), detail, back);
     }
 
+    /** What the refusal rests on, for the log and the caller. */
+    private String noPlaceDetail(Choice.Refuse refusal, long now) {
+        List<TargetLoad> loads = forwarding.table().loads(call.service(), tried, now);
+        int slots = loads.stream().mapToInt(TargetLoad::slots).sum();
+        int online = loads.stream().mapToInt(load -> load.use().online()).sum();
+        int batch = loads.stream().mapToInt(load -> load.use().batch()).sum();
+        return "sends %d, waited %d ms, %d targets with %d slots, online %d, batch %d, late by %d ms"
+                .formatted(
+                        sends,
+                        call.waited().toMillis(),
+                        loads.size(),
+                        slots,
+                        online,
+                        batch,
+                        refusal.retryAfter().toMillis());
+    }
+
     private Duration timeLeft(long now) {
         Duration left = call.timeout().minusNanos(now - arrivedAt);
         return left.isNegative() ? Duration.ZERO : left;
--- a/gateway/src/main/java/org/sardinelift/gateway/call/Forwarding.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/Forwarding.java
@@ -1,7 +1,6 @@
 package org.sardinelift.gateway.call;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import org.sardinelift.core.load.Placement;
 import org.sardinelift.core.load.ReturnTimes;
 import org.sardinelift.core.peer.PeerRole;
@@ -33,13 +32,14 @@
         ReturnTimes returns,
         DeathTally deaths,
         ForwardedHeaders headers) {
+    private static final double NANOS_PER_SECOND = 1e9;
 
     long now() {
         return System.nanoTime();
     }
 
-    /** Expected time between two slots that become free for callers of this gateway. */
-    Duration slotInterval(long now) {
+    /** Slots that become free for callers of this gateway in a second. */
+    double slotsPerSecond(long now) {
         double slotsPerNano =
                 table.all().stream()
                         .filter(target -> target.health().isUsable(now))
@@ -49,8 +49,6 @@
                                                 / Math.max(1, target.health().callNanos()))
                         .sum();
         long gateways = 1 + network.book().live(PeerRole.GATEWAY, now).count();
-        return slotsPerNano == 0
-                ? settings.callTime()
-                : Duration.ofNanos((long) (gateways / slotsPerNano));
+        return slotsPerNano * NANOS_PER_SECOND / gateways;
     }
 }
