--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -152,7 +152,7 @@
         int slots = loads.stream().mapToInt(TargetLoad::slots).sum();
         int online = loads.stream().mapToInt(load -> load.use().online()).sum();
         int batch = loads.stream().mapToInt(load -> load.use().batch()).sum();
-        return "sends %d, waited %d ms, %d targets with %d slots, online %d, batch %d, late by %d ms"
+        return "sends %d, waited %d ms, %d targets, %d slots, online %d, batch %d, late by %d ms"
                 .formatted(
                         sends,
                         call.waited().toMillis(),
