--- a/core/src/main/java/org/sardinelift/core/outcome/ProblemKind.java
+++ b/core/src/main/java/org/sardinelift/core/outcome/ProblemKind.java
@@ -5,6 +5,8 @@
 /** Kinds of refusal and failure; names are stable towards callers. */
 public enum ProblemKind {
     MALFORMED_HTTP(400, "Send a well-formed HTTP/1.1 request."),
+    HEADERS_TOO_LARGE(431, "Send fewer or shorter headers."),
+    URI_TOO_LONG(414, "Send a shorter request line."),
     REQUEST_TIMEOUT(408, "Send the whole request without pauses."),
     MALFORMED_REQUEST(400, "Correct the request as the detail says and send it again."),
     UNAUTHENTICATED(401, "Send a valid key in the Authorization header."),
--- a/entry/src/main/java/org/sardinelift/entry/filter/ModelRequest.java
+++ b/entry/src/main/java/org/sardinelift/entry/filter/ModelRequest.java
@@ -71,6 +71,11 @@
         if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
             return new Malformed("/stream must be true or false");
         }
+        JsonNode tokens = root.path("max_tokens");
+        boolean absent = tokens.isMissingNode() || tokens.isNull();
+        if (!absent && (!tokens.isIntegralNumber() || tokens.asLong() < 1)) {
+            return new Malformed("/max_tokens must be a whole number from 1");
+        }
         String start = prompt.toString();
         String prefix = start.substring(0, Math.min(prefixChars, start.length()));
         return new Parsed(
--- a/entry/src/test/java/org/sardinelift/entry/MalformedRequestTest.java
+++ b/entry/src/test/java/org/sardinelift/entry/MalformedRequestTest.java
@@ -52,6 +52,10 @@
                 "POST|chat|{\"model\":\"m1\",\"messages\":[1]} x|400|malformed_request",
                 "POST|text|{\"model\":\"m1\",\"prompt\":7}|400|malformed_request",
                 "POST|text|{\"model\":\"m1\",\"prompt\":\"a\",\"stream\":1}|400|malformed_request",
+                "POST|text|{\"model\":\"m1\",\"prompt\":\"a\",\"max_tokens\":-1}|400"
+                        + "|malformed_request",
+                "POST|text|{\"model\":\"m1\",\"prompt\":\"a\",\"max_tokens\":\"x\"}|400"
+                        + "|malformed_request",
                 "POST|text|{\"model\":\"m9\",\"prompt\":\"a\"}|404|not_found",
                 "GET|text|{}|405|method_not_allowed",
                 "POST|/v1/models|{}|405|method_not_allowed",
@@ -71,10 +75,20 @@
     @ValueSource(
             strings = {
                 "NOT HTTP AT ALL\r\n\r\n",
-                "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 999999999\r\n\r\n"
+                "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 999999999\r\n\r\n",
+                "POST /a HTTP/1.1\r\n\r\n",
+                "LONG_HEADER",
+                "LONG_LINE"
             })
     void refusalsOfTheHttpLayerReadAsTheOthers(String request) throws Exception {
-        String answer = raw(request);
+        String longText = "x".repeat(200_000);
+        String sent =
+                switch (request) {
+                    case "LONG_HEADER" -> "POST /a HTTP/1.1\r\nhost: " + longText + "\r\n\r\n";
+                    case "LONG_LINE" -> "POST /" + longText + " HTTP/1.1\r\nhost: x\r\n\r\n";
+                    default -> request;
+                };
+        String answer = raw(sent);
         JsonNode problem =
                 new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n")));
         ProblemKind kind =
--- a/http/src/main/java/org/sardinelift/http/ServerConnection.java
+++ b/http/src/main/java/org/sardinelift/http/ServerConnection.java
@@ -193,9 +193,11 @@
 
     private void refuseHead(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof TooLongHttpHeaderException) {
-            refuse(context, 431, "headers_too_large", "the headers are too long", "Send less.");
+            String remedy = "Send fewer or shorter headers.";
+            refuse(context, 431, "headers_too_large", "the headers are too long", remedy);
         } else if (cause instanceof TooLongHttpLineException) {
-            refuse(context, 414, "uri_too_long", "the request line is too long", "Shorten it.");
+            String remedy = "Send a shorter request line.";
+            refuse(context, 414, "uri_too_long", "the request line is too long", remedy);
         } else {
             refuseMalformed(context, "the request line or the headers are malformed");
         }
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -46,7 +46,7 @@
 SARDINELIFT_ENTRY="127.0.0.1:$(port entry-2 caller)"
 for _ in $(seq 50); do
   ctl batch status "$job" > "$run_dir/status.out"
-  grep -q completed "$run_dir/status.out" && break
+  grep -Eq '"status" *: *"completed"' "$run_dir/status.out" && break
   sleep 0.2
 done
 cat "$run_dir/status.out"
