--- a/standins/src/main/java/org/sardinelift/standins/engine/AnswerForm.java
+++ b/standins/src/main/java/org/sardinelift/standins/engine/AnswerForm.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import org.sardinelift.standins.Json;
 
 /** Shapes of an answer. */
@@ -92,7 +93,7 @@
         return Json.object()
                 .put("id", (prompt.chat() ? "chatcmpl-" : "cmpl-") + id)
                 .put("object", object)
-                .put("created", 0)
+                .put("created", Instant.now().getEpochSecond())
                 .put("model", prompt.model());
     }
 
--- a/standins/src/test/java/org/sardinelift/standins/engine/EngineStandinTest.java
+++ b/standins/src/test/java/org/sardinelift/standins/engine/EngineStandinTest.java
@@ -11,6 +11,7 @@
 import java.net.BindException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
@@ -56,6 +57,8 @@
         JsonNode body = Json.parse(whole.text());
         assertEquals(expected, body.at("/choices/0/message/content").asText());
         assertEquals(12, body.at("/usage/completion_tokens").asInt());
+        long ageSeconds = Instant.now().getEpochSecond() - body.path("created").asLong();
+        assertTrue(ageSeconds >= 0 && ageSeconds < 60, "made " + ageSeconds + " s ago");
         assertEquals(expected, streamed(stream.text()));
         assertTrue(stream.text().endsWith("data: [DONE]\n\n"));
     }
