Model the load in virtual time, and report scarce slots at once

Cause: gateways in other zones knew of a call after 23 ms on average, so that near the capacity calls were sent to targets that were full by then.

--- a/bench/src/main/java/org/sardinelift/bench/Bench.java
+++ b/bench/src/main/java/org/sardinelift/bench/Bench.java
@@ -7,6 +7,7 @@
 import org.sardinelift.bench.command.Command;
 import org.sardinelift.bench.command.LatencyCommand;
 import org.sardinelift.bench.command.MeasuresCommand;
+import org.sardinelift.bench.command.ModelCommand;
 import org.sardinelift.bench.command.SlopesCommand;
 import org.sardinelift.bench.command.ThroughputCommand;
 
@@ -18,7 +19,8 @@
                     new MeasuresCommand(),
                     new LatencyCommand(),
                     new ThroughputCommand(),
-                    new SlopesCommand());
+                    new SlopesCommand(),
+                    new ModelCommand());
 
     private Bench() {}
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -173,7 +173,7 @@
         sends++;
         tried.add(target.id());
         forwarding.network().board().onOwn(target.id(), ONE_CALL);
-        forwarding.network().changed(target.entry().zone());
+        forwarding.network().changed(forwarding.table().load(target, now));
         TargetAttempt next = new TargetAttempt(this, target, load, now);
         attempt = next;
         next.start(forwarding.client(), httpCall(target, now));
@@ -396,7 +396,7 @@
         attempt = null;
         GatewayMetrics.attempt(how);
         forwarding.network().board().onOwn(from.target().id(), ONE_CALL_LESS);
-        forwarding.network().changed(from.target().entry().zone());
+        forwarding.network().changed(forwarding.table().load(from.target(), forwarding.now()));
     }
 
     private void end(String result) {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -236,7 +236,14 @@
         return !target.entry.leaving() && !target.misdirected && target.health.isUsable(now);
     }
 
-    private TargetLoad load(Target target, long now) {
+    /**
+     * A target with its load.
+     *
+     * @param target the target
+     * @param now the time, nanoseconds
+     * @return its load
+     */
+    public TargetLoad load(Target target, long now) {
         return new TargetLoad(
                 target.id(),
                 target.entry.zone(),
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.sardinelift.core.load.LoadBoard;
+import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.load.Use;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.peer.PeerBook;
@@ -99,6 +100,7 @@
     private long sentAt;
     private long sentFarAt;
     private boolean farPending;
+    private boolean urgentForAll;
     private long wallMs = System.currentTimeMillis();
     private long steadyNanos = System.nanoTime();
     private boolean flushPending;
@@ -251,13 +253,21 @@
     }
 
     /**
-     * The calls of this instance on a target have changed. Those near the target are told first:
-     * they are the ones that send calls to it.
+     * The calls of this instance on a target have changed. Those near the target are told first,
+     * since they are the ones that send calls to it; all are told at once where its slots are
+     * scarce.
      *
-     * @param targetZone availability zone of the target
+     * @param target the target with its load after the change
      */
-    public void changed(String targetZone) {
-        urgentZones.add(targetZone);
+    public void changed(TargetLoad target) {
+        if (target.isScarce()) {
+            urgentForAll = true;
+        }
+        changed(target.zone());
+    }
+
+    private void changed(String zone) {
+        urgentZones.add(zone);
         if (!flushPending) {
             flushPending = true;
             loop.schedule(this::flushUrgent, GATHER.toNanos(), TimeUnit.NANOSECONDS);
@@ -270,6 +280,10 @@
 
     private void flushUrgent() {
         flushPending = false;
+        if (urgentForAll) {
+            flush();
+            return;
+        }
         Set<String> zones = Set.copyOf(urgentZones);
         urgentZones.clear();
         sendTo(peer -> peer.zone().equals(settings.zone()) || zones.contains(peer.zone()));
@@ -401,6 +415,8 @@
 
     private void flush() {
         farPending = false;
+        urgentForAll = false;
+        urgentZones.clear();
         sendTo(peer -> true);
         sentAt = System.nanoTime();
         sentFarAt = sentAt;
