Pass reports between zones on by relays, and tell of free slots later

Cause: each instance reported each change of its calls to every other one, 40 ms later or at once where slots were scarce.

Change: within a zone as before, but slots that come free within 12 ms; between zones one relay a zone, chosen from the live instances alone, gathers for 12 ms; every instance still reports to all each 250 ms, so that a lost relay costs freshness only. One timer looks for stalls of all calls. A peer whose address is new is greeted at once.

--- a/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
@@ -25,11 +25,11 @@
     /** Time until an instance in the same zone knows of a call. */
     private static final long NEAR_REPORT = 3 * MILLI;
 
-    /** Time until one in another zone does, half of it on average spent in gathering. */
-    private static final long FAR_REPORT = 23 * MILLI;
+    /** The same for a slot that has come free. */
+    private static final long NEAR_REPORT_OF_FREED = 13 * MILLI;
 
-    /** The same where the target has hardly a slot left. */
-    private static final long FAR_REPORT_OF_SCARCE = 4 * MILLI;
+    /** Time until one in another zone does, by way of two relays that gather reports. */
+    private static final long FAR_REPORT = 18 * MILLI;
 
     private static final Duration OBJECTIVE = Duration.ofMillis(300);
     private static final Duration DEADLINE = Duration.ofMillis(5_000);
@@ -169,31 +169,30 @@
                 target.id(), target.zone(), target.slots(), use, CALL_NANOS, FIRST_NANOS);
     }
 
-    /** Tells the others of the calls of an instance, each after the time that a report takes. */
-    void report(String instance, String zone, LoadBoard own, ModelTarget changed) {
-        boolean scarce = load(changed, own.use(changed.id(), clock.now())).isScarce();
+    /** Tells the others of a change of an instance's calls, each after the time of a report. */
+    void report(String instance, String zone, LoadBoard own, boolean freed) {
         Map<String, Use> uses = new HashMap<>(own.ownUses());
         gateways.stream()
                 .filter(each -> !each.name.equals(instance))
                 .forEach(
                         each ->
                                 clock.at(
-                                        clock.now() + delay(zone, each.zone, scarce),
+                                        clock.now() + delay(zone, each.zone, freed),
                                         () -> each.board.onReport(instance, uses, clock.now())));
         workers.stream()
                 .filter(each -> !each.name().equals(instance))
                 .forEach(
                         each ->
                                 clock.at(
-                                        clock.now() + delay(zone, each.zone(), scarce),
+                                        clock.now() + delay(zone, each.zone(), freed),
                                         () -> each.onReport(instance, uses)));
     }
 
-    private static long delay(String from, String to, boolean scarce) {
-        if (from.equals(to)) {
-            return NEAR_REPORT;
+    private static long delay(String from, String to, boolean freed) {
+        if (!from.equals(to)) {
+            return FAR_REPORT;
         }
-        return scarce ? FAR_REPORT_OF_SCARCE : FAR_REPORT;
+        return freed ? NEAR_REPORT_OF_FREED : NEAR_REPORT;
     }
 
     static LoadBoard board() {
@@ -298,7 +297,7 @@
 
         private void use(ModelTarget target, int change) {
             board.onOwn(target.id(), new Use(change, 0));
-            report(name, zone, board, target);
+            report(name, zone, board, change < 0);
         }
     }
 }
--- a/bench/src/main/java/org/sardinelift/bench/model/ModelWorker.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/ModelWorker.java
@@ -175,7 +175,7 @@
 
     private void use(ModelTarget target, int change) {
         board.onOwn(target.id(), new Use(0, change));
-        model.report(name, zone, board, target);
+        model.report(name, zone, board, change < 0);
     }
 
     private long nowMs() {
--- a/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
@@ -13,18 +13,6 @@
 public record TargetLoad(
         String id, String zone, int slots, Use use, long callNanos, long firstNanos) {
 
-    /** Free slots for online calls below which other instances must know of each further call. */
-    private static final int SCARCE_SLOTS = 2;
-
-    /**
-     * Whether other instances must know of each further call at once, wherever they are.
-     *
-     * @return true where hardly any slot is left for online calls
-     */
-    public boolean isScarce() {
-        return freeForOnline() <= SCARCE_SLOTS;
-    }
-
     /**
      * Slots that nothing holds.
      *
--- a/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BinaryOperator;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -17,6 +19,13 @@
  * clock. Not safe for use by several threads at once.
  */
 public final class PeerBook {
+    /** Workers go first: they have no callers who wait. */
+    private static final Comparator<RelayRank> RELAY_ORDER =
+            Comparator.comparing((RelayRank rank) -> rank.role() != PeerRole.WORKER)
+                    .thenComparing(RelayRank::name);
+
+    private record RelayRank(PeerRole role, String name) {}
+
     private final String self;
     private final long silenceNanos;
     private final long forgetNanos;
@@ -188,6 +197,50 @@
                 .anyMatch(at -> at.isPresent() && now - at.getAsLong() < limit.toNanos());
     }
 
+    /**
+     * Whether this instance passes reports on between its zone and the others.
+     *
+     * @param role its role
+     * @param zone its zone
+     * @param now the time
+     * @return true where no live peer of the zone comes before it
+     */
+    public boolean isRelay(PeerRole role, String zone, long now) {
+        return relayCandidates(now)
+                .filter(peer -> peer.zone().equals(zone))
+                .noneMatch(
+                        peer ->
+                                RELAY_ORDER.compare(relayRank(peer), new RelayRank(role, self))
+                                        < 0);
+    }
+
+    /**
+     * The instances that pass reports on in the other zones, one for each.
+     *
+     * @param ownZone the zone left out
+     * @param now the time
+     * @return the peers
+     */
+    public Collection<Peer> relaysOfOtherZones(String ownZone, long now) {
+        return relayCandidates(now)
+                .filter(peer -> !peer.zone().equals(ownZone))
+                .collect(
+                        Collectors.toMap(
+                                Peer::zone,
+                                Function.identity(),
+                                BinaryOperator.minBy(
+                                        Comparator.comparing(PeerBook::relayRank, RELAY_ORDER))))
+                .values();
+    }
+
+    private Stream<Peer> relayCandidates(long now) {
+        return peers.values().stream().filter(peer -> isLive(peer, now) && !peer.leaving());
+    }
+
+    private static RelayRank relayRank(Peer peer) {
+        return new RelayRank(peer.role(), peer.name());
+    }
+
     /**
      * The live peer with the newest configuration, where it is newer than a version.
      *
--- a/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
+++ b/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
@@ -143,4 +143,60 @@
         assertTrue(book.withNewerPlan(3, 0).isEmpty());
         assertTrue(book.withNewerPlan(2, 600 * MILLI).isEmpty());
     }
+
+    private static Peer inZone(String name, PeerRole role, String zone, boolean leaving) {
+        return new Peer(
+                name,
+                "10.0.0.1",
+                7000,
+                zone,
+                role,
+                1,
+                1,
+                3,
+                leaving,
+                Set.of(),
+                OptionalLong.empty(),
+                OptionalLong.empty(),
+                0,
+                0,
+                true);
+    }
+
+    @Test
+    void oneInstanceOfAZoneRelaysAndWorkersGoFirst() {
+        book.onReport(inZone("a-gateway", PeerRole.GATEWAY, "here", false));
+
+        assertTrue(book.isRelay(PeerRole.WORKER, "here", 0));
+        assertFalse(book.isRelay(PeerRole.GATEWAY, "here", 0), "a-gateway comes before self");
+        assertTrue(book.isRelay(PeerRole.GATEWAY, "there", 0));
+
+        book.onReport(inZone("z-worker", PeerRole.WORKER, "here", false));
+        assertTrue(book.isRelay(PeerRole.WORKER, "here", 0));
+        assertFalse(book.isRelay(PeerRole.GATEWAY, "here", 0));
+    }
+
+    @Test
+    void aLostOrLeavingInstanceRelaysNothing() {
+        book.onReport(inZone("a-worker", PeerRole.WORKER, "here", true));
+        assertTrue(book.isRelay(PeerRole.GATEWAY, "here", 0));
+
+        book.onReport(inZone("b-worker", PeerRole.WORKER, "here", false));
+        assertFalse(book.isRelay(PeerRole.GATEWAY, "here", 599 * MILLI));
+        assertTrue(book.isRelay(PeerRole.GATEWAY, "here", 600 * MILLI));
+    }
+
+    @Test
+    void eachOtherZoneHasOneRelay() {
+        book.onReport(inZone("a-gateway", PeerRole.GATEWAY, "north", false));
+        book.onReport(inZone("b-worker", PeerRole.WORKER, "north", false));
+        book.onReport(inZone("c-gateway", PeerRole.GATEWAY, "south", false));
+        book.onReport(inZone("d-gateway", PeerRole.GATEWAY, "south", false));
+        book.onReport(inZone("e-worker", PeerRole.WORKER, "here", false));
+
+        List<String> relays =
+                book.relaysOfOtherZones("here", 0).stream().map(Peer::name).sorted().toList();
+
+        assertEquals(List.of("b-worker", "c-gateway"), relays);
+    }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallGate.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallGate.java
@@ -72,7 +72,8 @@
                         Placement.of(settings.node().zone(), settings.placementMargin()),
                         ReturnTimes.create(),
                         deaths,
-                        new ForwardedHeaders(adapter.headers(), adapter.reservedHeaders()));
+                        new ForwardedHeaders(adapter.headers(), adapter.reservedHeaders()),
+                        new StallWatch(loop));
         JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
         return new CallGate(new CallHandler(forwarding, plans, adapter.jobs(), jobs));
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -34,8 +34,6 @@
     /** A target's silence is compared with this many of its usual pauses between events. */
     private static final int PAUSES_TO_STALL = 4;
 
-    private static final Duration STALL_CHECK = Duration.ofMillis(40);
-
     /** Longest time that callers honour, as a part of the time that they have left. */
     private static final int RETURN_WITHIN_PART = 3;
 
@@ -59,7 +57,6 @@
     private boolean headPassed;
     private boolean ended;
     private @Nullable ScheduledFuture<?> timeout;
-    private @Nullable ScheduledFuture<?> stallCheck;
 
     ForwardRun(Forwarding forwarding, HttpExchange exchange, IncomingCall call) {
         this.forwarding = forwarding;
@@ -94,6 +91,7 @@
                 forwarding
                         .loop()
                         .schedule(this::onTimeout, call.timeout().toNanos(), TimeUnit.NANOSECONDS);
+        forwarding.stalls().add(this);
         place();
     }
 
@@ -173,13 +171,10 @@
         sends++;
         tried.add(target.id());
         forwarding.network().board().onOwn(target.id(), ONE_CALL);
-        forwarding.network().changed(forwarding.table().load(target, now));
+        forwarding.network().changed();
         TargetAttempt next = new TargetAttempt(this, target, load, now);
         attempt = next;
         next.start(forwarding.client(), httpCall(target, now));
-        if (isCurrent(next)) {
-            scheduleStallCheck(next);
-        }
     }
 
     private HttpCall httpCall(Target target, long now) {
@@ -205,27 +200,15 @@
                 !call.route().mayRepeat());
     }
 
-    private void scheduleStallCheck(TargetAttempt which) {
-        stallCheck =
-                forwarding
-                        .loop()
-                        .schedule(
-                                () -> checkStall(which),
-                                STALL_CHECK.toNanos(),
-                                TimeUnit.NANOSECONDS);
-    }
-
-    private void checkStall(TargetAttempt which) {
-        if (!isCurrent(which)) {
+    /** Looks whether the target has been silent for too long. */
+    void checkStall(long now) {
+        TargetAttempt current = attempt;
+        if (current == null) {
             return;
         }
-        long now = forwarding.now();
-        long silent = now - which.progressAt();
-        if (silent >= stallLimit(which)) {
-            onStall(which, silent, now);
-        }
-        if (isCurrent(which)) {
-            scheduleStallCheck(which);
+        long silent = now - current.progressAt();
+        if (silent >= stallLimit(current)) {
+            onStall(current, silent, now);
         }
     }
 
@@ -396,7 +379,7 @@
         attempt = null;
         GatewayMetrics.attempt(how);
         forwarding.network().board().onOwn(from.target().id(), ONE_CALL_LESS);
-        forwarding.network().changed(forwarding.table().load(from.target(), forwarding.now()));
+        forwarding.network().freed();
     }
 
     private void end(String result) {
@@ -404,9 +387,7 @@
         if (timeout != null) {
             timeout.cancel(false);
         }
-        if (stallCheck != null) {
-            stallCheck.cancel(false);
-        }
+        forwarding.stalls().remove(this);
         GatewayMetrics.ended(call.route().name(), result, forwarding.now() - arrivedAt);
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/Forwarding.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/Forwarding.java
@@ -21,6 +21,7 @@
  * @param returns tells refused callers when to come back
  * @param deaths requests that were there when targets died
  * @param headers which headers are passed on
+ * @param stalls looks for targets that have fallen silent
  */
 record Forwarding(
         GatewaySettings settings,
@@ -31,7 +32,8 @@
         Placement placement,
         ReturnTimes returns,
         DeathTally deaths,
-        ForwardedHeaders headers) {
+        ForwardedHeaders headers,
+        StallWatch stalls) {
     private static final double NANOS_PER_SECOND = 1e9;
 
     long now() {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -358,7 +358,7 @@
         run.item().running(true);
         running.computeIfAbsent(run.target(), key -> new ArrayList<>()).add(run);
         network.board().onOwn(run.target().id(), ONE_ITEM);
-        network.changed(table.load(run.target(), now));
+        network.changed();
         WorkerMetrics.running(runs().size());
         run.start(client, httpCall(run), now);
     }
@@ -414,7 +414,7 @@
         }
         run.item().running(false);
         network.board().onOwn(run.target().id(), ONE_ITEM_LESS);
-        network.changed(table.load(run.target(), System.nanoTime()));
+        network.freed();
         WorkerMetrics.running(runs().size());
         Event.of("item.run_ended")
                 .with("job", run.due().job().spec().id())
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -3,22 +3,23 @@
 import io.netty.channel.EventLoop;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadBoard;
-import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.load.Use;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.peer.PeerBook;
@@ -30,7 +31,6 @@
 import org.sardinelift.protocol.ReportChannel;
 import org.sardinelift.protocol.generated.PeerAddress;
 import org.sardinelift.protocol.generated.PeerReport;
-import org.sardinelift.protocol.generated.TargetDeath;
 import org.sardinelift.protocol.generated.TargetUse;
 import org.sardinelift.protocol.generated.TeamCount;
 import org.sardinelift.runtime.log.Event;
@@ -43,16 +43,19 @@
     /** Time in which changes gather for those who place calls by them; less than a network hop. */
     private static final Duration GATHER = Duration.ofMillis(2);
 
-    /** Time in which changes gather for all others; bytes between zones are dear. */
-    private static final Duration GATHER_FAR = Duration.ofMillis(40);
+    /** The same for slots that come free. */
+    private static final Duration GATHER_FREED = Duration.ofMillis(12);
 
     /** Time between reports without a change. */
     private static final Duration HEARTBEAT = Duration.ofMillis(100);
 
-    /** The same for instances in other zones. */
-    private static final Duration HEARTBEAT_FAR = Duration.ofMillis(180);
+    /** The same for instances in other zones, which relays tell of changes. */
+    private static final Duration HEARTBEAT_FAR = Duration.ofMillis(250);
 
-    /** Six heartbeats: one lost datagram in a row is common, five are not. */
+    /** Time between reports that name all teams and all members. */
+    private static final Duration FULL_REPORT = Duration.ofSeconds(2);
+
+    /** Six heartbeats of the zone, two of others: relays' messages count as well. */
     private static final Duration SILENCE = Duration.ofMillis(600);
 
     /** Longer than any cut that an instance is expected to live through. */
@@ -64,47 +67,30 @@
     /** A step between the clocks by which this process notices that it stood still. */
     private static final Duration PAUSE = Duration.ofMillis(400);
 
-    /** Reports after which a team's count is named again, for those that missed one. */
-    private static final int REPEATS = 8;
-
-    /** Age of what was never read. */
-    private static final long NEVER = -1;
-
     /** A confirmation of the configuration older than two watches is not relied on. */
     private static final Duration PLAN_READ = Duration.ofMillis(2_200);
 
     /** A list of the targets older than two intervals is not relied on. */
     private static final Duration TARGETS_READ = Duration.ofMillis(1_300);
 
-    /** Each so many reports name all teams and all members. */
-    private static final int FULL_REPORT = 30;
-
     private final NodeSettings settings;
-    private final PeerRole role;
     private final EventLoop loop;
-    private final Knowledge knowledge;
-    private final long incarnation = System.currentTimeMillis();
-    private final long startedAt = System.nanoTime();
     private final PeerBook book;
     private final LoadBoard board = LoadBoard.create(SILENCE.multipliedBy(2), FOREIGN_LOAD_LIFE);
-    private final FleetQuota quota = FleetQuota.create(new QuotaBounds(SILENCE, YOUNG), startedAt);
+    private final FleetQuota quota =
+            FleetQuota.create(new QuotaBounds(SILENCE, YOUNG), System.nanoTime());
+    private final ReportWriter writer;
+    private final ReportRelay relay;
     private final ReportChannel channel;
-    private final Map<String, Long> reportedCounts = new HashMap<>();
-    private final Map<String, Long> countChangedAt = new HashMap<>();
-    private final Map<TargetDeath, Long> deaths = new LinkedHashMap<>();
     private final Set<String> liveNames = new HashSet<>();
     private final List<Listener> listeners = new ArrayList<>();
-    private Supplier<Collection<Long>> jobs = List::of;
-    private long sequence;
-    private final Set<String> urgentZones = new HashSet<>();
     private long sentAt;
     private long sentFarAt;
-    private boolean farPending;
-    private boolean urgentForAll;
+    private long sentFullAt;
     private long wallMs = System.currentTimeMillis();
     private long steadyNanos = System.nanoTime();
-    private boolean flushPending;
-    private boolean leaving;
+    private @Nullable ScheduledFuture<?> flush;
+    private long flushDue;
     private volatile boolean planReadByOther;
     private volatile boolean targetsReadByOther;
 
@@ -164,16 +150,16 @@
     private PeerNetwork(NodeSettings settings, PeerRole role, EventLoop loop, Knowledge knowledge)
             throws BindException {
         this.settings = settings;
-        this.role = role;
         this.loop = loop;
-        this.knowledge = knowledge;
         this.book = PeerBook.create(settings.instance(), SILENCE, FORGET);
+        this.writer = new ReportWriter(settings, role, knowledge, book, board, quota);
+        this.relay = new ReportRelay(settings, role, book, loop, this::sendRelayed);
         this.channel =
                 ReportChannel.bind(
                         loop,
                         settings.internal().host(),
                         settings.internal().port(),
-                        this::onReport);
+                        this::onDatagram);
     }
 
     /**
@@ -197,7 +183,7 @@
         loop.execute(
                 () -> {
                     introduceToSeeds();
-                    flush();
+                    sendToAll();
                     tick();
                 });
     }
@@ -217,7 +203,7 @@
      * @param running gives hashes of the jobs' names
      */
     public void reportJobs(Supplier<Collection<Long>> running) {
-        jobs = running;
+        writer.reportJobs(running);
     }
 
     /**
@@ -249,50 +235,41 @@
 
     /** Something that the others are to know soon has changed. */
     public void changed() {
-        changed(settings.zone());
+        flushWithin(GATHER);
     }
 
     /**
-     * The calls of this instance on a target have changed. Those near the target are told first,
-     * since they are the ones that send calls to it; all are told at once where its slots are
-     * scarce.
-     *
-     * @param target the target with its load after the change
+     * A slot of a target has come free. Another instance that doesn't know of it yet sends its call
+     * elsewhere, which costs less than one that doesn't know of a slot taken.
      */
-    public void changed(TargetLoad target) {
-        if (target.isScarce()) {
-            urgentForAll = true;
-        }
-        changed(target.zone());
-    }
-
-    private void changed(String zone) {
-        urgentZones.add(zone);
-        if (!flushPending) {
-            flushPending = true;
-            loop.schedule(this::flushUrgent, GATHER.toNanos(), TimeUnit.NANOSECONDS);
-        }
-        if (!farPending) {
-            farPending = true;
-            loop.schedule(this::flush, GATHER_FAR.toNanos(), TimeUnit.NANOSECONDS);
+    public void freed() {
+        flushWithin(GATHER_FREED);
+    }
+
+    private void flushWithin(Duration bound) {
+        long due = System.nanoTime() + bound.toNanos();
+        if (flush == null || due - flushDue < 0) {
+            if (flush != null) {
+                flush.cancel(false);
+            }
+            flushDue = due;
+            flush = loop.schedule(this::flush, bound.toNanos(), TimeUnit.NANOSECONDS);
         }
+        relay.onOwnChange();
     }
 
-    private void flushUrgent() {
-        flushPending = false;
-        if (urgentForAll) {
-            flush();
-            return;
+    private void flush() {
+        if (flush != null) {
+            flush.cancel(false);
+            flush = null;
         }
-        Set<String> zones = Set.copyOf(urgentZones);
-        urgentZones.clear();
-        sendTo(peer -> peer.zone().equals(settings.zone()) || zones.contains(peer.zone()));
+        sendTo(writer.changes(), peer -> peer.zone().equals(settings.zone()));
         sentAt = System.nanoTime();
     }
 
     /** This instance is about to stop. */
     public void leave() {
-        leaving = true;
+        writer.leave();
         changed();
     }
 
@@ -303,7 +280,7 @@
      * @param target life of the target that ended
      */
     public void reportDeath(long request, String target) {
-        deaths.put(new TargetDeath(request, target), sequence + REPEATS);
+        writer.onDeath(request, target);
         changed();
     }
 
@@ -323,12 +300,12 @@
             quota.onMember(name, now);
         }
         if (book.onAddress(name, address.host(), address.port(), now)) {
-            changed();
+            introduceTo(address.host(), address.port());
         }
     }
 
     private void introduceToSeeds() {
-        PeerReport report = report();
+        PeerReport report = writer.changes();
         report.setIntroduce(true);
         byte[] bytes = channel.bytes(report);
         settings.seeds().stream()
@@ -352,9 +329,9 @@
         }
         noticeLost(now);
         if (now - sentFarAt >= HEARTBEAT_FAR.toNanos()) {
-            flush();
+            sendToAll();
         } else if (now - sentAt >= HEARTBEAT.toNanos()) {
-            flushUrgent();
+            flush();
         }
         if (book.all().isEmpty()) {
             introduceToSeeds();
@@ -413,62 +390,37 @@
                 });
     }
 
-    private void flush() {
-        farPending = false;
-        urgentForAll = false;
-        urgentZones.clear();
-        sendTo(peer -> true);
-        sentAt = System.nanoTime();
-        sentFarAt = sentAt;
+    private void sendToAll() {
+        long now = System.nanoTime();
+        boolean full = now - sentFullAt >= FULL_REPORT.toNanos();
+        if (full) {
+            sentFullAt = now;
+        }
+        sendTo(full ? writer.full() : writer.changes(), peer -> true);
+        sentAt = now;
+        sentFarAt = now;
+    }
+
+    private void sendTo(PeerReport report, Predicate<Peer> chosen) {
+        send(report, book.all().stream().filter(chosen).toList());
     }
 
-    private void sendTo(Predicate<Peer> chosen) {
-        List<Peer> receivers = book.all().stream().filter(chosen).toList();
+    private void sendRelayed(List<byte[]> reports, Collection<Peer> receivers) {
+        PeerReport report = writer.changes();
+        report.setRelayed(reports.stream().map(ByteBuffer::wrap).toList());
+        send(report, receivers);
+    }
+
+    private void send(PeerReport report, Collection<Peer> receivers) {
         if (receivers.isEmpty()) {
             return;
         }
-        byte[] bytes = channel.bytes(report());
+        byte[] bytes = channel.bytes(report);
         receivers.forEach(
-                peer -> channel.send(bytes, new InetSocketAddress(peer.host(), peer.port())));
-    }
-
-    private PeerReport report() {
-        sequence++;
-        PeerReport report = new PeerReport();
-        report.setInstance(settings.instance());
-        report.setIncarnation(incarnation);
-        report.setSequence(sequence);
-        report.setAgeMs(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt));
-        report.setZone(settings.zone());
-        report.setRole(role.label());
-        report.setHost(settings.internal().host());
-        report.setPort(settings.internal().port());
-        report.setPlanVersion(knowledge.planVersion());
-        report.setPlanAgeMs(ageMs(knowledge.planReadAt()));
-        report.setTargetsAgeMs(ageMs(knowledge.targetsReadAt()));
-        report.setTargetsChanged(knowledge.targetsChanged());
-        report.setLeaving(leaving);
-        report.setUses(
-                board.ownUses().entrySet().stream()
-                        .map(
-                                use ->
-                                        new TargetUse(
-                                                use.getKey(),
-                                                use.getValue().online(),
-                                                use.getValue().batch()))
-                        .toList());
-        report.setTeams(counts(sequence % FULL_REPORT == 0));
-        report.setJobs(List.copyOf(jobs.get()));
-        deaths.values().removeIf(until -> until < sequence);
-        report.setDeaths(List.copyOf(deaths.keySet()));
-        if (sequence % FULL_REPORT == 0) {
-            report.setMembers(members());
-        }
-        return report;
-    }
-
-    private static long ageMs(long at) {
-        return at == 0 ? NEVER : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - at);
+                peer -> {
+                    channel.send(bytes, new InetSocketAddress(peer.host(), peer.port()));
+                    PeerMetrics.sent(peer.zone().equals(settings.zone()));
+                });
     }
 
     private static OptionalLong readAt(long ageMs, long now) {
@@ -477,32 +429,39 @@
                 : OptionalLong.of(now - TimeUnit.MILLISECONDS.toNanos(ageMs));
     }
 
-    private List<TeamCount> counts(boolean all) {
-        quota.admitted()
-                .forEach(
-                        (team, count) -> {
-                            if (!count.equals(reportedCounts.put(team, count))) {
-                                countChangedAt.put(team, sequence);
-                            }
-                        });
-        return reportedCounts.entrySet().stream()
-                .filter(entry -> all || sequence - countChangedAt.get(entry.getKey()) < REPEATS)
-                .map(entry -> new TeamCount(entry.getKey(), entry.getValue()))
-                .toList();
+    /** A report came from its sender, maybe with those of others. */
+    private void onDatagram(PeerReport report, byte[] bytes) {
+        List<ByteBuffer> relayed = report.isSetRelayed() ? report.getRelayed() : List.of();
+        report.unsetRelayed();
+        Optional<Peer> sender = onReport(report);
+        boolean mayPassOn = !report.isIntroduce();
+        sender.filter(peer -> mayPassOn)
+                .ifPresent(
+                        peer ->
+                                relay.onReport(
+                                        peer, relayed.isEmpty() ? bytes : channel.bytes(report)));
+        boolean fromOwnZone = report.getZone().equals(settings.zone());
+        relayed.forEach(each -> onRelayed(each, fromOwnZone));
+        listeners.forEach(Listener::onLoads);
     }
 
-    private List<PeerAddress> members() {
-        return book.all().stream()
-                .map(peer -> new PeerAddress(peer.name(), peer.host(), peer.port()))
-                .toList();
+    private void onRelayed(ByteBuffer each, boolean fromOwnZone) {
+        byte[] bytes = new byte[each.remaining()];
+        each.get(bytes);
+        Optional<Peer> news = ReportChannel.read(bytes).flatMap(this::onReport);
+        // What the zone's own relay passes on needs no passing on.
+        if (!fromOwnZone) {
+            news.ifPresent(peer -> relay.onReport(peer, bytes));
+        }
     }
 
-    private void onReport(PeerReport report) {
+    /** Takes a report; empty where a newer one of its sender is known. */
+    private Optional<Peer> onReport(PeerReport report) {
         long now = System.nanoTime();
         Peer peer = peer(report, now);
         PeerBook.News news = book.onReport(peer);
         if (news == PeerBook.News.STALE) {
-            return;
+            return Optional.empty();
         }
         boolean joined = news == PeerBook.News.JOINED;
         if (liveNames.add(peer.name()) || joined) {
@@ -519,7 +478,7 @@
             onCounts(peer, report, now);
         }
         if (joined || report.isIntroduce()) {
-            introduceTo(peer);
+            introduceTo(peer.host(), peer.port());
         }
         if (report.isSetDeaths()) {
             report.getDeaths()
@@ -535,12 +494,12 @@
             noteReaders(now);
         }
         listeners.forEach(it -> it.onReport(peer, joined));
-        listeners.forEach(Listener::onLoads);
+        return Optional.of(peer);
     }
 
     private void onMember(PeerAddress member, long now) {
         if (book.onAddress(member.getInstance(), member.getHost(), member.getPort(), now)) {
-            changed();
+            introduceTo(member.getHost(), member.getPort());
         }
     }
 
@@ -556,11 +515,8 @@
         quota.onReport(peer.name(), peer.incarnation(), ageNanos, counts, now);
     }
 
-    private void introduceTo(Peer peer) {
-        PeerReport answer = report();
-        answer.setMembers(members());
-        answer.setTeams(counts(true));
-        channel.send(channel.bytes(answer), new InetSocketAddress(peer.host(), peer.port()));
+    private void introduceTo(String host, int port) {
+        channel.send(channel.bytes(writer.full()), new InetSocketAddress(host, port));
     }
 
     private static Map<String, Use> uses(PeerReport report) {
--- /dev/null
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
@@ -0,0 +1,233 @@
+package org.sardinelift.gateway.peer;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardinelift.core.load.Use;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.gateway.Endpoint;
+import org.sardinelift.gateway.NodeSettings;
+
+/** Twelve instances in three zones, each at a loopback address of its own. */
+class PeerNetworkTest {
+    private static final List<String> ZONES = List.of("north", "south", "west");
+    private static final int PER_ZONE = 4;
+    private static final int INSTANCES = ZONES.size() * PER_ZONE;
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private static final PeerNetwork.Knowledge NOTHING = new Nothing();
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final List<PeerNetwork> networks = new ArrayList<>();
+
+    @BeforeEach
+    void start() throws Exception {
+        int port = freePort();
+        for (int i = 0; i < INSTANCES; i++) {
+            PeerRole role = i < ZONES.size() ? PeerRole.WORKER : PeerRole.GATEWAY;
+            networks.add(PeerNetwork.bind(settings(i, port), role, loop, NOTHING));
+        }
+        networks.forEach(PeerNetwork::start);
+        await().atMost(PATIENCE).until(() -> onLoop(this::allKnowAll));
+    }
+
+    @AfterEach
+    void stop() {
+        networks.forEach(PeerNetwork::close);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static int freePort() throws Exception {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName(host(0)))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static String host(int instance) {
+        return "127.0.2." + (instance + 1);
+    }
+
+    private static NodeSettings settings(int instance, int port) {
+        return new NodeSettings(
+                "instance-" + instance,
+                ZONES.get(instance % ZONES.size()),
+                new Endpoint(host(instance), port),
+                List.of(host(0), host(1)),
+                new Endpoint("127.0.0.1", 1),
+                Duration.ofSeconds(1),
+                1,
+                Duration.ofSeconds(8));
+    }
+
+    private <T> T onLoop(Callable<T> action) throws Exception {
+        return loop.submit(action).get();
+    }
+
+    private boolean allKnowAll() {
+        long now = System.nanoTime();
+        return networks.stream()
+                .allMatch(
+                        network ->
+                                network.book().all().stream()
+                                                .filter(peer -> network.book().isLive(peer, now))
+                                                .count()
+                                        == INSTANCES - 1);
+    }
+
+    private long countThatSee(String target, Use use) {
+        long now = System.nanoTime();
+        return networks.stream()
+                .filter(network -> network.board().use(target, now).equals(use))
+                .count();
+    }
+
+    @Test
+    void aChangeReachesEveryInstanceOfEveryZone() throws Exception {
+        for (int i = 0; i < INSTANCES; i++) {
+            PeerNetwork sender = networks.get(i);
+            String target = "target-" + i;
+            loop.execute(
+                    () -> {
+                        sender.board().onOwn(target, new Use(1, 0));
+                        sender.changed();
+                    });
+            await().atMost(PATIENCE)
+                    .until(() -> onLoop(() -> countThatSee(target, new Use(1, 0)) == INSTANCES));
+        }
+        assertTrue(onLoop(this::allKnowAll));
+    }
+
+    @Test
+    void changesLeaveAZoneInAFewMessages() throws Exception {
+        double before = PeerMetrics.sentToOtherZones();
+        long startedAt = System.nanoTime();
+        IntStream.range(0, 100).forEach(i -> changeEverywhere(10L * i));
+        await().atMost(PATIENCE)
+                .until(() -> onLoop(() -> countThatSee("busy", busyUse()) == INSTANCES));
+        double seconds = (System.nanoTime() - startedAt) / 1e9;
+        double sent = PeerMetrics.sentToOtherZones() - before;
+
+        // A relay's messages each 12 ms and four heartbeats a second from each instance to others.
+        int others = INSTANCES - PER_ZONE;
+        double relayed = ZONES.size() * (ZONES.size() - 1) * seconds / 0.012;
+        double heartbeats = INSTANCES * others * (1 + seconds / 0.25);
+        assertTrue(sent <= relayed + heartbeats, sent + " reports in " + seconds + " s");
+        // Each instance to each other one, for each of the changes.
+        assertTrue(sent < 0.5 * 100 * INSTANCES * others);
+    }
+
+    private static Use busyUse() {
+        return new Use(100 * INSTANCES, 0);
+    }
+
+    private void changeEverywhere(long afterMs) {
+        loop.schedule(
+                () ->
+                        networks.forEach(
+                                network -> {
+                                    network.board().onOwn("busy", new Use(1, 0));
+                                    network.changed();
+                                }),
+                afterMs,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void zonesHearOfEachOtherAfterTheirRelaysAreLost() throws Exception {
+        for (int i = 0; i < ZONES.size(); i++) {
+            networks.get(i).close();
+        }
+        PeerNetwork sender = networks.get(INSTANCES - 1);
+        loop.execute(
+                () -> {
+                    sender.board().onOwn("late", new Use(2, 0));
+                    sender.changed();
+                });
+
+        await().atMost(PATIENCE)
+                .until(
+                        () ->
+                                onLoop(
+                                        () ->
+                                                countThatSee("late", new Use(2, 0))
+                                                        == INSTANCES - ZONES.size()));
+        assertEquals(0, onLoop(() -> networks.get(0).board().use("late", 0).total()));
+    }
+
+    @Test
+    void instancesKnowEachOtherAtOnceWhereTheStoreNamesOne() throws Exception {
+        int port = freePort();
+        PeerNetwork first = PeerNetwork.bind(alone(100, port), PeerRole.GATEWAY, loop, NOTHING);
+        PeerNetwork second = PeerNetwork.bind(alone(101, port), PeerRole.GATEWAY, loop, NOTHING);
+        networks.add(first);
+        networks.add(second);
+
+        // Neither was started, so that no heartbeat comes in between.
+        loop.execute(
+                () ->
+                        first.onInstance(
+                                "instance-101", PeerRole.GATEWAY, new Endpoint(host(101), port)));
+
+        await().atMost(PATIENCE).until(() -> onLoop(() -> isLive(first, "instance-101")));
+        assertTrue(onLoop(() -> isLive(second, "instance-100")));
+    }
+
+    private static NodeSettings alone(int instance, int port) {
+        NodeSettings usual = settings(instance, port);
+        return new NodeSettings(
+                usual.instance(),
+                usual.zone(),
+                usual.internal(),
+                List.of(),
+                usual.store(),
+                usual.storeTimeout(),
+                usual.storeCallsPerSecond(),
+                usual.grace());
+    }
+
+    private static boolean isLive(PeerNetwork network, String name) {
+        long now = System.nanoTime();
+        return network.book().all().stream()
+                .anyMatch(peer -> peer.name().equals(name) && network.book().isLive(peer, now));
+    }
+
+    private static final class Nothing implements PeerNetwork.Knowledge {
+        @Override
+        public long planVersion() {
+            return 0;
+        }
+
+        @Override
+        public long planReadAt() {
+            return 0;
+        }
+
+        @Override
+        public long targetsReadAt() {
+            return 0;
+        }
+
+        @Override
+        public long targetsChanged() {
+            return 0;
+        }
+    }
+}
--- a/protocol/src/main/java/org/sardinelift/protocol/ReportChannel.java
+++ b/protocol/src/main/java/org/sardinelift/protocol/ReportChannel.java
@@ -5,13 +5,15 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.util.function.Consumer;
+import java.util.Optional;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
@@ -31,6 +33,17 @@
     private final Channel channel;
     private final TSerializer serializer;
 
+    /** Takes reports, on the event loop. */
+    public interface Listener {
+        /**
+         * A report has come.
+         *
+         * @param report the report
+         * @param bytes the same as it came, to be passed on
+         */
+        void onReport(PeerReport report, byte[] bytes);
+    }
+
     private ReportChannel(Channel channel, TSerializer serializer) {
         this.channel = channel;
         this.serializer = serializer;
@@ -46,14 +59,16 @@
      * @return the bound channel
      * @throws BindException where the address is taken; choose another in the settings
      */
-    public static ReportChannel bind(
-            EventLoopGroup group, String host, int port, Consumer<PeerReport> listener)
+    public static ReportChannel bind(EventLoopGroup group, String host, int port, Listener listener)
             throws BindException {
         try {
             var bound =
                     new Bootstrap()
                             .group(group)
                             .channel(NioDatagramChannel.class)
+                            .option(
+                                    ChannelOption.RECVBUF_ALLOCATOR,
+                                    new FixedRecvByteBufAllocator(MAX_BYTES))
                             .handler(new Receiver(listener))
                             .bind(host, port)
                             .awaitUninterruptibly();
@@ -106,30 +121,39 @@
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(report), to));
     }
 
+    /**
+     * Reads a report that another instance passed on.
+     *
+     * @param bytes its bytes
+     * @return the report, or empty where they hold none
+     */
+    public static Optional<PeerReport> read(byte[] bytes) {
+        PeerReport report = new PeerReport();
+        try {
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(report, bytes);
+            return Optional.of(report);
+        } catch (TException e) {
+            Logger.warn("{} bytes are no report: {}; dropped", bytes.length, e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void close() {
         channel.close().awaitUninterruptibly();
     }
 
     private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        private final Consumer<PeerReport> listener;
-        private final TDeserializer deserializer;
+        private final Listener listener;
 
-        Receiver(Consumer<PeerReport> listener) throws TTransportException {
+        Receiver(Listener listener) {
             this.listener = listener;
-            this.deserializer = new TDeserializer(new TCompactProtocol.Factory());
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            PeerReport report = new PeerReport();
-            try {
-                deserializer.deserialize(report, ByteBufUtil.getBytes(packet.content()));
-            } catch (TException e) {
-                Logger.warn("A datagram from {} is no report; dropped", packet.sender());
-                return;
-            }
-            listener.accept(report);
+            byte[] bytes = ByteBufUtil.getBytes(packet.content());
+            read(bytes).ifPresent(report -> listener.onReport(report, bytes));
         }
 
         @Override
--- a/protocol/src/main/thrift/sardinelift.thrift
+++ b/protocol/src/main/thrift/sardinelift.thrift
@@ -311,5 +311,7 @@
   /** Time since this instance itself read the targets from the store; -1 if never. */
   18: i64 targetsAgeMs,
   /** Revision of the store at which the targets that this instance holds had changed last. */
-  19: i64 targetsChanged
+  19: i64 targetsChanged,
+  /** Reports of other instances as they came, from an instance that passes them on. */
+  20: optional list<binary> relayed
 }
