--- a/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
+++ b/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
@@ -227,6 +227,19 @@
         return 1 - silent / (peers.size() + 1.0);
     }
 
+    /**
+     * What an admission of a team rests on, for the log.
+     *
+     * @param team name of the team
+     * @return tokens held and the part of the rate that this instance may admit
+     */
+    public String describe(String team) {
+        Bucket bucket = buckets.get(team);
+        double tokens = bucket == null ? 0 : bucket.tokens;
+        return "tokens %.2f, part %.2f of %d gateways"
+                .formatted(tokens, heardPart, peers.size() + 1);
+    }
+
     private Bucket bucket(TeamAllowance team) {
         return buckets.computeIfAbsent(team.name(), name -> new Bucket(team, startedAt));
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -76,7 +76,7 @@
         String teamName = route.open() ? "" : team.orElse("");
         Optional<Duration> overRate = overRate(plan, teamName);
         if (overRate.isPresent()) {
-            String detail = "team " + teamName + ", version " + plan.version();
+            String detail = overRateDetail(plan, teamName);
             refuse(exchange, Kind.OVER_RATE, id, detail, overRate.get());
             return;
         }
@@ -142,6 +142,17 @@
         return Optional.of(Duration.ofNanos(wait));
     }
 
+    private String overRateDetail(ServingPlan plan, String team) {
+        TeamAllowance allowance = plan.team(team).orElseThrow();
+        return "team %s, version %d, rate %.1f/s, burst %d, %s"
+                .formatted(
+                        team,
+                        plan.version(),
+                        (double) allowance.ratePerSecond(),
+                        (long) allowance.burst(),
+                        forwarding.network().quota().describe(team));
+    }
+
     private void handleJobCall(
             HttpExchange exchange, ServingPlan plan, JobInterface.JobCall jobCall) {
         boolean isOpen =
--- /dev/null
+++ b/system-tests/src/test/java/org/sardinelift/system/SoakTest.java
@@ -0,0 +1,49 @@
+package org.sardinelift.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Short runs of scripts/soak.sh: a seed that never failed, and each one that did. */
+class SoakTest {
+    @TempDir private Path logs;
+
+    private Run soak(String seed, String seconds) throws Exception {
+        Path root = Path.of(System.getProperty("workspace.root"));
+        ProcessBuilder builder =
+                new ProcessBuilder(root.resolve("scripts/soak.sh").toString(), seed)
+                        .redirectErrorStream(true);
+        builder.environment().put("SOAK_SECONDS", seconds);
+        builder.environment().put("SOAK_GATEWAYS", "1");
+        builder.environment().put("SOAK_LOGS", logs.toString());
+        Process process = builder.start();
+        String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return new Run(process.onExit().join().exitValue(), text);
+    }
+
+    private record Run(int exitCode, String text) {}
+
+    @ParameterizedTest
+    @ValueSource(strings = {"1"})
+    void promisesHoldUnderRandomFaults(String seed) throws Exception {
+        Run run = soak(seed, "12");
+
+        assertEquals(0, run.exitCode(), run.text());
+        assertTrue(run.text().contains("call 200="), run.text());
+        assertTrue(run.text().contains("job completed="), run.text());
+    }
+
+    /** A soak that can't fail would show nothing. */
+    @Test
+    void aProgramThatIsNoServerFailsTheSoak() throws Exception {
+        Run run = soak("no seed", "1");
+
+        assertTrue(run.exitCode() != 0, run.text());
+    }
+}
