--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -144,12 +144,12 @@
 
     private String overRateDetail(ServingPlan plan, String team) {
         TeamAllowance allowance = plan.team(team).orElseThrow();
-        return "team %s, version %d, rate %.1f/s, burst %d, %s"
+        return "team %s, version %d, rate %.1f/s, burst %.1f, %s"
                 .formatted(
                         team,
                         plan.version(),
-                        (double) allowance.ratePerSecond(),
-                        (long) allowance.burst(),
+                        allowance.ratePerSecond(),
+                        allowance.burst(),
                         forwarding.network().quota().describe(team));
     }
 
