Accept batch jobs on several disks while the store can't take them

Cause: while the store is away or slow no job is accepted within its objective.

Change: a worker that has no answer of the store within 100 ms, or knows that it doesn't answer, writes the job to its disk and hands copies to the other workers; one disk more than may be lost at once makes it accepted. The job runs at once; its records wait until its header is in the store. A worker that starts takes up what its disk holds, one that joins is given copies, one that retires is empty only once the store has them. Jobs that another worker runs are answered 503, not 404, where the store lacks them.

--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -47,7 +47,7 @@
                         USUAL_CALL);
         this.worker =
                 JobWorker.create(
-                        settings.node(),
+                        settings,
                         adapter,
                         node.loop(),
                         node.control(),
@@ -57,8 +57,7 @@
                         node.contact(),
                         table,
                         node.network(),
-                        node.plans(),
-                        settings.keepJobs());
+                        node.plans());
         this.internal =
                 node.serveInternal(
                         table,
--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerSettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerSettings.java
@@ -1,6 +1,7 @@
 package org.sardinelift.gateway;
 
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 import org.sardinelift.settings.SettingsNode;
 
 /**
@@ -9,8 +10,13 @@
  * @param node what it has in common with gateways
  * @param keepJobs time after its submission for which a closed job is kept
  * @param connectionIdle longest idle time of a connection to a target that is used again
+ * @param spool where jobs are kept that the store can't take yet; null where there is no disk
  */
-public record WorkerSettings(NodeSettings node, Duration keepJobs, Duration connectionIdle) {
+public record WorkerSettings(
+        NodeSettings node,
+        Duration keepJobs,
+        Duration connectionIdle,
+        @Nullable SpoolSettings spool) {
 
     /**
      * Reads the settings.
@@ -24,6 +30,7 @@
                 // Callers may read results for two minutes after the submission; clocks differ.
                 node.millis("keepJobsMs", 180_000),
                 // Well under the idle time after which targets close connections.
-                node.millis("connectionIdleMs", 2_000));
+                node.millis("connectionIdleMs", 2_000),
+                node.has("spool") ? SpoolSettings.read(node.object("spool")) : null);
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -120,7 +120,8 @@
         return leaving ? List.of() : mine.stream().map(ItemRunner::hash).toList();
     }
 
-    private static long hash(String job) {
+    /** Stands for a job in reports. */
+    static long hash(String job) {
         return org.sardinelift.core.route.Rendezvous.weight(job, "");
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobBook.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobBook.java
@@ -22,6 +22,7 @@
     private final Map<String, Map<Integer, String>> parts = new HashMap<>();
     private final Map<String, Map<Integer, String>> early = new HashMap<>();
     private Consumer<JobProgress> listener = job -> {};
+    private Consumer<String> storedListener = job -> {};
 
     JobBook(JobInterface jobInterface) {
         this.jobInterface = jobInterface;
@@ -32,6 +33,11 @@
         listener = changed;
     }
 
+    /** Sets who hears of each job whose header is seen in the store. */
+    void listenToStored(Consumer<String> stored) {
+        storedListener = stored;
+    }
+
     Optional<JobProgress> find(String job) {
         return Optional.ofNullable(jobs.get(job));
     }
@@ -80,6 +86,7 @@
     private static final int END = -1;
 
     private void takeHeader(String job, JobCodec.Header header) {
+        storedListener.accept(job);
         if (jobs.containsKey(job)) {
             return;
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRecorder.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRecorder.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.sardinelift.core.joblog.ItemResult;
 import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.objects.ReadResult;
@@ -23,9 +24,16 @@
     private final JobStorage storage;
     private final JobBook book;
     private final EventLoop loop;
+    private final Predicate<String> isPending;
     private final Set<String> recording = new HashSet<>();
 
-    JobRecorder(JobStorage storage, JobBook book, EventLoop loop) {
+    /**
+     * Makes a recorder.
+     *
+     * @param isPending whether a job is not in the store yet: its records must not come before it
+     */
+    JobRecorder(JobStorage storage, JobBook book, EventLoop loop, Predicate<String> isPending) {
+        this.isPending = isPending;
         this.storage = storage;
         this.book = book;
         this.loop = loop;
@@ -53,6 +61,10 @@
             recording.remove(job.spec().id());
             return;
         }
+        if (isPending.test(job.spec().id())) {
+            later(RETRY, job);
+            return;
+        }
         int number = job.nextRecord();
         storage.createRecord(job.spec().id(), number, batch)
                 .thenAccept(result -> onResult(job, number, batch, result));
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -12,10 +12,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.joblog.CopyCount;
 import org.sardinelift.core.joblog.ItemResult;
 import org.sardinelift.core.joblog.JobItem;
 import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.core.joblog.JobSpec;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.gateway.feed.StoreContact;
+import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.http.HttpExchange;
 import org.sardinelift.objects.ReadResult;
 import org.sardinelift.runtime.log.Event;
@@ -23,6 +27,10 @@
 /** Answers gateways' calls about batch jobs. On the event loop. */
 final class JobService {
     private static final Duration SUBMIT_BOUND = Duration.ofMillis(750);
+
+    /** Time of several usual answers of the store; a job is then kept on disks as well. */
+    private static final Duration SPOOL_AFTER = Duration.ofMillis(100);
+
     private static final Duration END_BOUND = Duration.ofMillis(500);
 
     /** Knowledge that is older may lack a result that a caller has read elsewhere. */
@@ -41,6 +49,9 @@
     private final JobBook book;
     private final JobFeed feed;
     private final JobStorage storage;
+    private final JobSpool spool;
+    private final StoreContact contact;
+    private final PeerNetwork network;
     private final EventLoop loop;
     private final Consumer<JobProgress> accepted;
     private final Map<String, List<Waiter>> waiters = new HashMap<>();
@@ -53,12 +64,18 @@
             JobBook book,
             JobFeed feed,
             JobStorage storage,
+            JobSpool spool,
+            StoreContact contact,
+            PeerNetwork network,
             EventLoop loop,
             Consumer<JobProgress> accepted) {
         this.jobInterface = jobInterface;
         this.book = book;
         this.feed = feed;
         this.storage = storage;
+        this.spool = spool;
+        this.contact = contact;
+        this.network = network;
         this.loop = loop;
         this.accepted = accepted;
     }
@@ -111,34 +128,108 @@
                         query(exchange, JobPaths.HOST),
                         System.currentTimeMillis(),
                         items);
-        JobCodec.Header header =
-                new JobCodec.Header(
-                        spec.team(), spec.route(), spec.host(), spec.submittedMs(), 0, "");
-        String document = new String(exchange.body(), StandardCharsets.UTF_8);
-        long deadline = System.nanoTime() + SUBMIT_BOUND.toNanos();
-        storage.createJob(id, header, document, deadline)
-                .thenAccept(created -> onStored(exchange, spec, created));
+        new Submission(exchange, spec, new String(exchange.body(), StandardCharsets.UTF_8)).start();
     }
 
-    private void onStored(HttpExchange exchange, JobSpec spec, JobStorage.Created created) {
-        WorkerMetrics.submitted(created.name().toLowerCase(java.util.Locale.ROOT));
-        Event.of("job.submitted")
-                .with("job", spec.id())
-                .with("team", spec.team())
-                .with("items", spec.items().size())
-                .with("stored", created.name())
-                .info();
-        switch (created) {
-            case EXISTS -> {
-                accepted.accept(book.add(spec));
-                answer(exchange, ACCEPTED, "accepted");
+    /** One submission, until the store or enough disks hold the job. */
+    private final class Submission {
+        private final HttpExchange exchange;
+        private final JobSpec spec;
+        private final JobCodec.Header header;
+        private JobStorage.@Nullable Created stored;
+        private CopyCount.@Nullable Outcome spooled;
+        private boolean spooling;
+        private boolean answered;
+
+        Submission(HttpExchange exchange, JobSpec spec, String document) {
+            this.exchange = exchange;
+            this.spec = spec;
+            this.header =
+                    new JobCodec.Header(
+                            spec.team(),
+                            spec.route(),
+                            spec.host(),
+                            spec.submittedMs(),
+                            0,
+                            document);
+        }
+
+        void start() {
+            long deadline = System.nanoTime() + SUBMIT_BOUND.toNanos();
+            storage.createJob(spec.id(), header, header.document(), deadline)
+                    .thenAccept(this::onStored);
+            if (contact.answers()) {
+                loop.schedule(this::spool, SPOOL_AFTER.toNanos(), TimeUnit.NANOSECONDS);
+            } else {
+                spool();
             }
-            case NOT_CREATED -> answer(exchange, UNAVAILABLE, "the job could not be stored");
-            default -> answer(exchange, OUTCOME_UNKNOWN, "the job may have been stored");
+        }
+
+        private void spool() {
+            if (!answered && !spooling) {
+                spooling = true;
+                spool.accept(spec.id(), header).thenAccept(this::onSpooled);
+            }
+        }
+
+        private void onStored(JobStorage.Created created) {
+            stored = created;
+            WorkerMetrics.submitted(created.name().toLowerCase(java.util.Locale.ROOT));
+            if (created == JobStorage.Created.EXISTS) {
+                spool.onStored(spec.id());
+                accept();
+            } else {
+                spool();
+                refuseWhereBothFailed();
+            }
+        }
+
+        private void onSpooled(CopyCount.Outcome outcome) {
+            spooled = outcome;
+            if (outcome == CopyCount.Outcome.KEPT) {
+                WorkerMetrics.submitted("spooled");
+                accept();
+            } else {
+                refuseWhereBothFailed();
+            }
+        }
+
+        private void accept() {
+            JobProgress job = book.add(spec);
+            accepted.accept(job);
+            answerOnce(ACCEPTED, "accepted");
+        }
+
+        private void refuseWhereBothFailed() {
+            if (stored == null || spooled == null) {
+                return;
+            }
+            boolean mayRun =
+                    stored == JobStorage.Created.UNCLEAR || spooled == CopyCount.Outcome.UNCLEAR;
+            if (mayRun) {
+                answerOnce(OUTCOME_UNKNOWN, "the job may have been stored");
+            } else {
+                answerOnce(UNAVAILABLE, "the job could not be stored");
+            }
+        }
+
+        private void answerOnce(int status, String detail) {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            Event.of("job.submitted")
+                    .with("job", spec.id())
+                    .with("team", spec.team())
+                    .with("items", spec.items().size())
+                    .with("status", status)
+                    .with("stored", stored == null ? "pending" : stored.name())
+                    .with("spooled", spooled == null ? null : spooled.name())
+                    .info();
+            answer(exchange, status, detail);
         }
     }
 
-    /** Finds the job, in the store where it isn't known here; a caller of another team gets 404. */
     private void withJob(HttpExchange exchange, String id, Consumer<JobProgress> action) {
         Optional<JobProgress> known = book.find(id);
         if (known.isPresent()) {
@@ -149,6 +240,8 @@
                         found -> {
                             if (found.isEmpty()) {
                                 answer(exchange, UNAVAILABLE, "the store doesn't answer");
+                            } else if (!found.get() && runsElsewhere(id)) {
+                                answer(exchange, UNAVAILABLE, "another worker knows the job");
                             } else if (!found.get()) {
                                 answer(exchange, NOT_FOUND, "no such job");
                             } else {
@@ -157,6 +250,14 @@
                         });
     }
 
+    /** A job that only disks hold yet is not in the store; the worker that runs it reports it. */
+    private boolean runsElsewhere(String id) {
+        long hash = ItemRunner.hash(id);
+        return network.book()
+                .live(PeerRole.WORKER, System.nanoTime())
+                .anyMatch(peer -> peer.jobs().contains(hash));
+    }
+
     private void checkTeam(HttpExchange exchange, JobProgress job, Consumer<JobProgress> action) {
         if (job.spec().team().equals(query(exchange, JobPaths.TEAM))) {
             action.accept(job);
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.gateway.Adapter;
 import org.sardinelift.gateway.NodeSettings;
+import org.sardinelift.gateway.WorkerSettings;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.PlanFeed;
 import org.sardinelift.gateway.feed.StoreContact;
@@ -17,30 +19,82 @@
 public final class JobWorker {
     private final JobService service;
     private final JobFeed feed;
+    private final JobSpool spool;
+    private final Duration keep;
     private final JobRecorder recorder;
     private final ItemRunner runner;
     private final JobSweeper sweeper;
     private final RetirementWatch retirement;
 
     private JobWorker(
-            JobService service,
-            JobFeed feed,
-            JobRecorder recorder,
-            ItemRunner runner,
-            JobSweeper sweeper,
-            RetirementWatch retirement) {
-        this.service = service;
-        this.feed = feed;
-        this.recorder = recorder;
-        this.runner = runner;
-        this.sweeper = sweeper;
-        this.retirement = retirement;
+            WorkerSettings settings,
+            Adapter adapter,
+            EventLoop loop,
+            ControlThread control,
+            HttpClient targetClient,
+            HttpClient storeClient,
+            ObjectStore store,
+            StoreContact contact,
+            TargetTable table,
+            PeerNetwork network,
+            PlanFeed plans) {
+        NodeSettings node = settings.node();
+        JobInterface jobs = adapter.jobs();
+        keep = settings.keepJobs();
+        JobBook book = new JobBook(jobs);
+        JobStorage storage = new JobStorage(store, loop, contact);
+        feed = new JobFeed(book, store, loop, contact);
+        spool =
+                new JobSpool(
+                        settings.spool(), jobs, book, storage, contact, network, storeClient, loop);
+        recorder = new JobRecorder(storage, book, loop, spool::isPending);
+        runner =
+                new ItemRunner(
+                        node.instance(),
+                        node.zone(),
+                        book,
+                        recorder,
+                        table,
+                        network,
+                        targetClient,
+                        loop,
+                        plans,
+                        adapter.headers());
+        service =
+                new JobService(
+                        jobs, book, feed, storage, spool, contact, network, loop, runner::claim);
+        sweeper = new JobSweeper(node.instance(), book, storage, network, loop, keep);
+        Runnable handOver =
+                () -> {
+                    network.leave();
+                    runner.leave();
+                };
+        retirement =
+                new RetirementWatch(
+                        adapter,
+                        node,
+                        store,
+                        storeClient,
+                        control,
+                        contact,
+                        () -> loop.execute(handOver),
+                        this::isIdle);
+        book.listenToStored(spool::onStored);
+        book.listen(this::onJobChanged);
+        network.listen(runner);
+        network.listen(spool);
+        network.reportJobs(runner::reportedJobs);
+    }
+
+    private void onJobChanged(JobProgress job) {
+        service.onChanged(job);
+        runner.pump();
     }
 
     /**
      * Puts the parts together.
      *
-     * @param settings who and where this instance is
+     * @param settings who and where this instance is, and what it keeps
      * @param adapter names of headers and calls
      * @param loop the event loop of traffic
      * @param control the control thread
@@ -51,11 +105,10 @@
      * @param table the targets
      * @param network the other instances
      * @param plans the configuration in force
-     * @param keep time for which a closed job is kept
      * @return the worker, not started
      */
     public static JobWorker create(
-            NodeSettings settings,
+            WorkerSettings settings,
             Adapter adapter,
             EventLoop loop,
             ControlThread control,
@@ -65,55 +118,24 @@
             StoreContact contact,
             TargetTable table,
             PeerNetwork network,
-            PlanFeed plans,
-            Duration keep) {
-        JobBook book = new JobBook(adapter.jobs());
-        JobStorage storage = new JobStorage(store, loop, contact);
-        JobFeed feed = new JobFeed(book, store, loop, contact);
-        JobRecorder recorder = new JobRecorder(storage, book, loop);
-        ItemRunner runner =
-                new ItemRunner(
-                        settings.instance(),
-                        settings.zone(),
-                        book,
-                        recorder,
-                        table,
-                        network,
-                        targetClient,
-                        loop,
-                        plans,
-                        adapter.headers());
-        JobService service =
-                new JobService(adapter.jobs(), book, feed, storage, loop, runner::claim);
-        book.listen(
-                job -> {
-                    service.onChanged(job);
-                    runner.pump();
-                });
-        network.listen(runner);
-        network.reportJobs(runner::reportedJobs);
-        JobSweeper sweeper =
-                new JobSweeper(settings.instance(), book, storage, network, loop, keep);
-        RetirementWatch retirement =
-                new RetirementWatch(
-                        adapter,
-                        settings,
-                        store,
-                        storeClient,
-                        control,
-                        contact,
-                        () ->
-                                loop.execute(
-                                        () -> {
-                                            network.leave();
-                                            runner.leave();
-                                        }),
-                        () -> runner.isIdle() && recorder.isIdle());
-        return new JobWorker(service, feed, recorder, runner, sweeper, retirement);
+            PlanFeed plans) {
+        return new JobWorker(
+                settings,
+                adapter,
+                loop,
+                control,
+                targetClient,
+                storeClient,
+                store,
+                contact,
+                table,
+                network,
+                plans);
     }
 
     /** Starts to read and run jobs. */
     public void start() {
+        spool.start(keep);
         feed.start();
         sweeper.start();
         retirement.start();
@@ -126,7 +148,7 @@
      * @return whether it was one
      */
     public boolean handle(HttpExchange exchange) {
-        return service.handle(exchange);
+        return spool.handle(exchange) || service.handle(exchange);
     }
 
     /** Something changed that may let items start. */
@@ -145,6 +167,6 @@
      * @return true where the process may stop
      */
     public boolean isIdle() {
-        return runner.isIdle() && recorder.isIdle();
+        return runner.isIdle() && recorder.isIdle() && spool.isEmpty();
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -318,6 +318,8 @@
     }
 
     private void tick() {
+        // First, so that a failure below doesn't end the heartbeats.
+        loop.schedule(this::tick, HEARTBEAT.toNanos() / 2, TimeUnit.NANOSECONDS);
         long now = System.nanoTime();
         noticePause(now);
         noteReaders(now);
@@ -337,7 +339,6 @@
             introduceToSeeds();
         }
         listeners.forEach(Listener::onLoads);
-        loop.schedule(this::tick, HEARTBEAT.toNanos() / 2, TimeUnit.NANOSECONDS);
     }
 
     private void noteReaders(long now) {
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
@@ -190,6 +190,26 @@
         assertTrue(onLoop(() -> isLive(second, "instance-100")));
     }
 
+    @Test
+    void aListenerThatFailsDoesNotEndTheHeartbeats() throws Exception {
+        PeerNetwork failing = networks.get(0);
+        onLoop(
+                () -> {
+                    failing.listen(
+                            new PeerNetwork.Listener() {
+                                @Override
+                                public void onLoads() {
+                                    throw new IllegalStateException("thrown by the test");
+                                }
+                            });
+                    return true;
+                });
+
+        await().pollDelay(Duration.ofMillis(1_500)).until(() -> true);
+
+        assertTrue(onLoop(() -> isLive(networks.get(1), "instance-0")));
+    }
+
     private static NodeSettings alone(int instance, int port) {
         NodeSettings usual = settings(instance, port);
         return new NodeSettings(
