Start gateways and workers from a jar without what other roles need

Cause: of the processor time of a gateway's start most went into opening the server's jar of 10,424 entries, whose directory the JVM reads entry by entry before it is compiled.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mvn -B -ntp -q -DskipTests package
 mkdir -p target
-cp sardinelift/target/sardinelift.jar target/sardinelift.jar
+cp sardinelift/target/sardinelift-gateway.jar target/sardinelift.jar
 rm -f target/sardinelift.jsa
 java -Xshare:dump -Xlog:cds=error -XX:+UseSerialGC -XX:SharedClassListFile=deploy/classes.lst \
   -XX:SharedArchiveFile=target/sardinelift.jsa -jar target/sardinelift.jar > target/archive.log 2>&1 \
--- a/scripts/class-list.sh
+++ b/scripts/class-list.sh
@@ -12,7 +12,7 @@
 trap cleanup EXIT
 
 mvn -B -ntp -q -DskipTests package
-jar=sardinelift/target/sardinelift.jar
+jar=sardinelift/target/sardinelift-gateway.jar
 base=${CLASS_LIST_PORT:-27600}
 
 settings() {
