Let callers who come back wait no longer than their objective

Cause: a caller who was refused once was let into queues of up to a second.

Change: such a caller is placed where its first event comes within the objective of the new attempt.

--- a/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
@@ -38,7 +38,6 @@
     private static final Duration PATIENCE = Duration.ofMillis(2_000);
 
     private static final Duration KEPT_FOR_RETURNERS = Duration.ofMillis(60);
-    private static final Duration RETURNER_WAIT = Duration.ofMillis(1_000);
     private static final long CALL_NANOS = 750 * MILLI;
     private static final long FIRST_NANOS = 45 * MILLI;
     private static final int RETURN_WITHIN_PART = 3;
@@ -219,7 +218,7 @@
                 result.onCall();
                 returns.onNewCall(clock.now());
             }
-            Duration within = call.returned() ? RETURNER_WAIT : OBJECTIVE.minus(KEPT_FOR_RETURNERS);
+            Duration within = call.returned() ? OBJECTIVE : OBJECTIVE.minus(KEPT_FOR_RETURNERS);
             LoadBoard alone = board();
             board.ownUses().forEach(alone::onOwn);
             Optional<TargetLoad> chosen =
--- a/bench/src/test/java/org/sardinelift/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/sardinelift/bench/model/LoadModelTest.java
@@ -101,6 +101,23 @@
         assertTrue(refused <= 0.01, "refused " + refused);
     }
 
+    /** Those who come back must not fill the queues beyond the objective of all who are new. */
+    @Test
+    void inALongPeakMostWhoAreServedAreServedInTime() {
+        double inTime =
+                mean(
+                        seed -> ModelSettings.small(1, seed).withTargets(1),
+                        ModelPolicy.PRODUCT,
+                        LoadModelTest::served);
+        double late =
+                mean(
+                        seed -> ModelSettings.small(1, seed).withTargets(1),
+                        ModelPolicy.PRODUCT,
+                        ModelResult::late);
+
+        assertTrue(inTime >= 0.8 * (inTime + late), "in time " + inTime + ", late " + late);
+    }
+
     @Test
     void everyCallIsCountedOnce() {
         ModelResult result = LoadModel.play(ModelSettings.small(1.6, 7), ModelPolicy.PRODUCT);
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
@@ -11,7 +11,7 @@
  * @param ready address at which the balancer asks whether it is ready
  * @param placementMargin part of an objective kept for what estimates of waits miss
  * @param keptForReturners part of an objective that calls which come for the first time don't use
- * @param returnerWait longest wait for a slot of a caller that came back after a refusal
+ * @param resendWait longest wait for a slot of a call that is sent again after its target failed
  * @param stall least silence of a target after which a call that may be repeated is moved
  * @param firstEvent usual time from a send to the first event
  * @param callTime usual time that an online call holds a slot
@@ -23,7 +23,7 @@
         Endpoint ready,
         Duration placementMargin,
         Duration keptForReturners,
-        Duration returnerWait,
+        Duration resendWait,
         Duration stall,
         Duration firstEvent,
         Duration callTime,
@@ -44,8 +44,8 @@
                 node.millis("placementMarginMs", 30),
                 // A slot of a target with eight comes free about so often.
                 node.millis("keptForReturnersMs", 60),
-                // A third of a caller's usual deadline of some seconds.
-                node.millis("returnerWaitMs", 1_000),
+                // A fifth of the usual deadline: such a call has lost its objective already.
+                node.millis("resendWaitMs", 1_000),
                 // Several times the usual pause between events, under half of the pause allowed.
                 node.millis("stallMs", 180),
                 // Set-up, prefill of a usual prompt and the steps of the first event.
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardRun.java
@@ -113,9 +113,13 @@
             // A stream that is late is worth more than one that breaks off.
             return call.timeout();
         }
-        boolean returned = !call.waited().isZero() || sends > 0;
-        if (returned) {
-            return forwarding.settings().returnerWait();
+        if (sends > 0) {
+            return forwarding.settings().resendWait();
+        }
+        if (!call.waited().isZero()) {
+            // Longer, and in a long peak those who come back would take every slot too late for
+            // themselves and for all who are new.
+            return call.route().objective();
         }
         Duration left = call.route().objective().minusNanos(now - arrivedAt);
         // What is kept for them is what lets those who were refused once be served in time.
