Keep the last worker until another one has come

Change: a worker hands its work over only while another one stays; of several that are asked at once the one whose name comes first stays, takes jobs again and reports that it is under way until another worker is heard.

--- a/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
@@ -197,6 +197,20 @@
                 .anyMatch(at -> at.isPresent() && now - at.getAsLong() < limit.toNanos());
     }
 
+    /**
+     * Whether an instance of a role may go for good: another one stays. Of several that are about
+     * to go the one whose name comes first stays.
+     *
+     * @param role the role of this instance
+     * @param now the time
+     * @return false where nobody would be left
+     */
+    public boolean hasSuccessor(PeerRole role, long now) {
+        return peers.values().stream()
+                .filter(peer -> peer.role() == role && isLive(peer, now))
+                .anyMatch(peer -> !peer.leaving() || peer.name().compareTo(self) < 0);
+    }
+
     /**
      * Whether every known peer of a role has reported lately.
      *
--- a/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
+++ b/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
@@ -202,6 +202,26 @@
         assertTrue(book.hearsAll(PeerRole.WORKER, 40_100 * MILLI));
     }
 
+    @Test
+    void theLastOfARoleDoesNotGo() {
+        assertFalse(book.hasSuccessor(PeerRole.WORKER, 0));
+        book.onReport(inZone("a-gateway", PeerRole.GATEWAY, "here", false));
+        assertFalse(book.hasSuccessor(PeerRole.WORKER, 0));
+
+        book.onReport(inZone("z-worker", PeerRole.WORKER, "here", false));
+        assertTrue(book.hasSuccessor(PeerRole.WORKER, 599 * MILLI));
+        assertFalse(book.hasSuccessor(PeerRole.WORKER, 600 * MILLI));
+    }
+
+    @Test
+    void oneOfThoseAboutToGoStays() {
+        book.onReport(inZone("z-worker", PeerRole.WORKER, "here", true));
+        assertFalse(book.hasSuccessor(PeerRole.WORKER, 0), "self comes before z-worker");
+
+        book.onReport(inZone("a-worker", PeerRole.WORKER, "there", true));
+        assertTrue(book.hasSuccessor(PeerRole.WORKER, 0));
+    }
+
     @Test
     void eachOtherZoneHasOneRelay() {
         book.onReport(inZone("a-gateway", PeerRole.GATEWAY, "north", false));
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -141,6 +141,13 @@
         network.changed();
     }
 
+    /** This worker stays after all, and takes jobs again. */
+    void stay() {
+        leaving = false;
+        network.changed();
+        pump();
+    }
+
     /** Whether nothing runs here. */
     boolean isIdle() {
         return running.isEmpty();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import org.sardinelift.core.joblog.JobProgress;
+import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.gateway.Adapter;
 import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.gateway.WorkerSettings;
@@ -64,11 +66,6 @@
                 new JobService(
                         jobs, book, feed, storage, spool, contact, network, loop, runner::claim);
         sweeper = new JobSweeper(node.instance(), book, storage, network, loop, keep);
-        Runnable handOver =
-                () -> {
-                    network.leave();
-                    runner.leave();
-                };
         retirement =
                 new RetirementWatch(
                         adapter,
@@ -77,8 +74,7 @@
                         storeClient,
                         control,
                         contact,
-                        () -> loop.execute(handOver),
-                        this::isIdle);
+                        new Retiring(loop, network));
         book.listenToStored(spool::onStored);
         book.listen(this::onJobChanged);
         network.listen(runner);
@@ -86,6 +82,46 @@
         network.reportJobs(runner::reportedJobs);
     }
 
+    /** Hands the jobs of this worker over before its instance is taken away. */
+    private final class Retiring implements RetirementWatch.Work {
+        private final EventLoop loop;
+        private final PeerNetwork network;
+
+        Retiring(EventLoop loop, PeerNetwork network) {
+            this.loop = loop;
+            this.network = network;
+        }
+
+        @Override
+        public CompletableFuture<Boolean> mayGo() {
+            return CompletableFuture.supplyAsync(
+                    () -> network.book().hasSuccessor(PeerRole.WORKER, System.nanoTime()), loop);
+        }
+
+        @Override
+        public void handOver() {
+            loop.execute(
+                    () -> {
+                        network.leave();
+                        runner.leave();
+                    });
+        }
+
+        @Override
+        public void takeBack() {
+            loop.execute(
+                    () -> {
+                        network.stay();
+                        runner.stay();
+                    });
+        }
+
+        @Override
+        public boolean isEmpty() {
+            return isIdle();
+        }
+    }
+
     private void onJobChanged(JobProgress job) {
         service.onChanged(job);
         runner.pump();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.CompletableFuture;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.gateway.Adapter;
 import org.sardinelift.gateway.NodeSettings;
@@ -20,7 +20,8 @@
 
 /**
  * Looks for operators' requests to empty this instance, hands its work to others and reports when
- * it is done. Nothing that must last is on the instance. Works on the control thread.
+ * it is done. The last instance that could do the work stays until another one has come. Works on
+ * the control thread.
  */
 final class RetirementWatch {
     private static final Duration INTERVAL = Duration.ofMillis(2_500);
@@ -33,11 +34,26 @@
     private final HttpClient client;
     private final ControlThread control;
     private final StoreContact contact;
-    private final Runnable handOver;
-    private final BooleanSupplier isEmpty;
+    private final Work work;
     private boolean asked;
+    private boolean handedOver;
     private boolean startReported;
 
+    /** What is to be handed over. */
+    interface Work {
+        /** Whether another instance stays that can take the work. */
+        CompletableFuture<Boolean> mayGo();
+
+        /** Leaves the work to others. */
+        void handOver();
+
+        /** Takes work again, since nobody else would. */
+        void takeBack();
+
+        /** Whether nothing is left here that must last. */
+        boolean isEmpty();
+    }
+
     RetirementWatch(
             Adapter adapter,
             NodeSettings settings,
@@ -45,16 +61,14 @@
             HttpClient client,
             ControlThread control,
             StoreContact contact,
-            Runnable handOver,
-            BooleanSupplier isEmpty) {
+            Work work) {
         this.adapter = adapter;
         this.settings = settings;
         this.store = store;
         this.client = client;
         this.control = control;
         this.contact = contact;
-        this.handOver = handOver;
-        this.isEmpty = isEmpty;
+        this.work = work;
     }
 
     void start() {
@@ -80,11 +94,24 @@
         if (!asked) {
             asked = true;
             Event.of("retirement.asked").with("role", PeerRole.WORKER.label()).info();
-            handOver.run();
+        }
+        work.mayGo().thenAcceptAsync(mayGo -> step(key, mayGo), control::execute);
+    }
+
+    private void step(ObjectKey key, boolean mayGo) {
+        boolean changed = mayGo != handedOver;
+        if (changed) {
+            handedOver = mayGo;
+            Event.of(mayGo ? "retirement.handing_over" : "retirement.stays").info();
+            if (mayGo) {
+                work.handOver();
+            } else {
+                work.takeBack();
+            }
         }
         if (!startReported) {
             report(key, false);
-        } else if (isEmpty.getAsBoolean()) {
+        } else if (!changed && handedOver && work.isEmpty()) {
             report(key, true);
         } else {
             control.schedule(RETRY, () -> onAsked(key));
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -269,7 +269,13 @@
 
     /** This instance is about to stop. */
     public void leave() {
-        writer.leave();
+        writer.leaving(true);
+        changed();
+    }
+
+    /** This instance stays after all. */
+    public void stay() {
+        writer.leaving(false);
         changed();
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/ReportWriter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/ReportWriter.java
@@ -65,9 +65,9 @@
         jobs = running;
     }
 
-    /** From now on this instance is about to stop. */
-    void leave() {
-        leaving = true;
+    /** Sets whether this instance is about to stop. */
+    void leaving(boolean isLeaving) {
+        leaving = isLeaving;
     }
 
     /** A target died, of which the next reports tell. */
