Rely on no worker that is about to go

Change: only a worker that isn't about to go counts as a successor; where all are about to go the first by name stays and the others wait for it.

--- a/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerBook.java
@@ -197,18 +197,35 @@
                 .anyMatch(at -> at.isPresent() && now - at.getAsLong() < limit.toNanos());
     }
 
+    /** Whether the work of an instance that is to go for good has somebody to go to. */
+    public enum Succession {
+        /** Another instance of the role stays. */
+        SECURED,
+        /** All others are about to go as well, and one whose name comes first decides to stay. */
+        AWAITED,
+        /** Nobody else will stay, so that this instance must. */
+        ALONE
+    }
+
     /**
-     * Whether an instance of a role may go for good: another one stays. Of several that are about
-     * to go the one whose name comes first stays.
+     * Who can take over from this instance. An instance that is about to go never counts: it may
+     * have relied on this one.
      *
      * @param role the role of this instance
      * @param now the time
-     * @return false where nobody would be left
+     * @return what is known of the others
      */
-    public boolean hasSuccessor(PeerRole role, long now) {
-        return peers.values().stream()
-                .filter(peer -> peer.role() == role && isLive(peer, now))
-                .anyMatch(peer -> !peer.leaving() || peer.name().compareTo(self) < 0);
+    public Succession succession(PeerRole role, long now) {
+        List<Peer> others =
+                peers.values().stream()
+                        .filter(peer -> peer.role() == role && isLive(peer, now))
+                        .toList();
+        if (others.stream().anyMatch(peer -> !peer.leaving())) {
+            return Succession.SECURED;
+        }
+        return others.stream().anyMatch(peer -> peer.name().compareTo(self) < 0)
+                ? Succession.AWAITED
+                : Succession.ALONE;
     }
 
     /**
--- a/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
+++ b/core/src/test/java/org/sardinelift/core/peer/PeerBookTest.java
@@ -203,23 +203,29 @@
     }
 
     @Test
-    void theLastOfARoleDoesNotGo() {
-        assertFalse(book.hasSuccessor(PeerRole.WORKER, 0));
+    void theLastOfARoleIsAlone() {
+        assertEquals(PeerBook.Succession.ALONE, book.succession(PeerRole.WORKER, 0));
         book.onReport(inZone("a-gateway", PeerRole.GATEWAY, "here", false));
-        assertFalse(book.hasSuccessor(PeerRole.WORKER, 0));
+        assertEquals(PeerBook.Succession.ALONE, book.succession(PeerRole.WORKER, 0));
 
         book.onReport(inZone("z-worker", PeerRole.WORKER, "here", false));
-        assertTrue(book.hasSuccessor(PeerRole.WORKER, 599 * MILLI));
-        assertFalse(book.hasSuccessor(PeerRole.WORKER, 600 * MILLI));
+        assertEquals(PeerBook.Succession.SECURED, book.succession(PeerRole.WORKER, 599 * MILLI));
+        assertEquals(PeerBook.Succession.ALONE, book.succession(PeerRole.WORKER, 600 * MILLI));
     }
 
+    /** One that has gone already still shows as about to go for a while. */
     @Test
-    void oneOfThoseAboutToGoStays() {
+    void anInstanceThatIsAboutToGoIsNoSuccessor() {
+        book.onReport(inZone("a-worker", PeerRole.WORKER, "here", true));
+
+        assertEquals(PeerBook.Succession.AWAITED, book.succession(PeerRole.WORKER, 0));
+    }
+
+    @Test
+    void ofThoseAboutToGoTheFirstStays() {
         book.onReport(inZone("z-worker", PeerRole.WORKER, "here", true));
-        assertFalse(book.hasSuccessor(PeerRole.WORKER, 0), "self comes before z-worker");
 
-        book.onReport(inZone("a-worker", PeerRole.WORKER, "there", true));
-        assertTrue(book.hasSuccessor(PeerRole.WORKER, 0));
+        assertEquals(PeerBook.Succession.ALONE, book.succession(PeerRole.WORKER, 0));
     }
 
     @Test
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.sardinelift.core.joblog.JobProgress;
+import org.sardinelift.core.peer.PeerBook.Succession;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.gateway.Adapter;
 import org.sardinelift.gateway.NodeSettings;
@@ -93,9 +94,9 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> mayGo() {
+        public CompletableFuture<Succession> succession() {
             return CompletableFuture.supplyAsync(
-                    () -> network.book().hasSuccessor(PeerRole.WORKER, System.nanoTime()), loop);
+                    () -> network.book().succession(PeerRole.WORKER, System.nanoTime()), loop);
         }
 
         @Override
--- a/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/RetirementWatch.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.sardinelift.core.peer.PeerBook.Succession;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.gateway.Adapter;
 import org.sardinelift.gateway.NodeSettings;
@@ -41,8 +42,8 @@
 
     /** What is to be handed over. */
     interface Work {
-        /** Whether another instance stays that can take the work. */
-        CompletableFuture<Boolean> mayGo();
+        /** Who can take the work. */
+        CompletableFuture<Succession> succession();
 
         /** Leaves the work to others. */
         void handOver();
@@ -95,23 +96,24 @@
             asked = true;
             Event.of("retirement.asked").with("role", PeerRole.WORKER.label()).info();
         }
-        work.mayGo().thenAcceptAsync(mayGo -> step(key, mayGo), control::execute);
+        work.succession().thenAcceptAsync(found -> step(key, found), control::execute);
     }
 
-    private void step(ObjectKey key, boolean mayGo) {
-        boolean changed = mayGo != handedOver;
-        if (changed) {
-            handedOver = mayGo;
-            Event.of(mayGo ? "retirement.handing_over" : "retirement.stays").info();
-            if (mayGo) {
+    private void step(ObjectKey key, Succession succession) {
+        boolean wasHandedOver = handedOver;
+        handedOver = handedOver ? succession != Succession.ALONE : succession == Succession.SECURED;
+        if (handedOver != wasHandedOver) {
+            Event.of(handedOver ? "retirement.handing_over" : "retirement.stays").info();
+            if (handedOver) {
                 work.handOver();
             } else {
                 work.takeBack();
             }
         }
+        boolean isDone = wasHandedOver && succession == Succession.SECURED && work.isEmpty();
         if (!startReported) {
             report(key, false);
-        } else if (!changed && handedOver && work.isEmpty()) {
+        } else if (isDone) {
             report(key, true);
         } else {
             control.schedule(RETRY, () -> onAsked(key));
