Take up the other jobs of a disk where one file holds none

Cause: a file whose checksum holds but whose text is no job ended the take-up of all jobs and the flush with it (SpoolTest.aFileThatIsNoJobDoesNotHoldUpTheOthers failed before).

--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobSpool.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobSpool.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -139,7 +140,15 @@
     }
 
     private void takeUp(String text, Duration keep) {
-        Job job = Job.read(text);
+        try {
+            takeUp(Job.read(text), keep);
+        } catch (IllegalArgumentException e) {
+            // The file stays for an operator to look at; the other jobs must not wait for it.
+            Event.of("spool.unreadable").with("reason", e.getMessage()).error();
+        }
+    }
+
+    private void takeUp(Job job, Duration keep) {
         long ageMs = System.currentTimeMillis() - job.header().submittedMs();
         Event.of("spool.found").with("job", job.id()).with("age_ms", ageMs).info();
         if (ageMs > keep.toMillis()) {
@@ -151,7 +160,7 @@
     }
 
     private SpoolFolder folder() {
-        return java.util.Objects.requireNonNull(folder);
+        return Objects.requireNonNull(folder);
     }
 
     /** Whether there is a disk to keep jobs on. */
