Handle SIGHUP before anything else is started

It is now installed first; a signal before the file is read is ignored, as the file is read after it. Test fails first: ReloadSignalTest ('Broken pipe': the process had ended).

--- a/sardinelift/src/main/java/org/sardinelift/server/Sardinelift.java
+++ b/sardinelift/src/main/java/org/sardinelift/server/Sardinelift.java
@@ -31,6 +31,7 @@
      * @param args command line arguments, see {@code --help}
      */
     public static void main(String[] args) {
+        ReloadSignal.install();
         ExitCode code = new Sardinelift(System.out, System.err).run(args);
         System.exit(code.code());
     }
@@ -118,7 +119,7 @@
 
     private ExitCode serve(Path file, ServerSettings settings) {
         try {
-            ReloadSignal.install(file);
+            ReloadSignal.setFileInUse(file);
             Role.Instance instance = settings.starter().start();
             AtomicBoolean stopped = new AtomicBoolean();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(instance, stopped)));
