--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -134,10 +134,9 @@
         exchange.respond(isReady ? OK : UNAVAILABLE, Map.of(), new byte[0]);
     }
 
+    /** Must be called on the event loop, like the admission of calls. */
     private boolean isReady() {
-        return !isStopping
-                && node.plans().current() != null
-                && !node.targets().snapshot().objects().isEmpty();
+        return !isStopping && node.plans().current() != null && !targetTable.all().isEmpty();
     }
 
     /**
