Count crashes of targets that were silent before, and probe live ones less often

Deaths are now reported independently. Test fails first: aRequestThatSilencedAndCrashedThreeReplicasIsRefused (503 for 500).

An answered probe now counts as sign of life. Test fails first: aTargetThatAnswersProbesIsProbedOncePerStallTimeout (29 probes in 1.5 s; 8 allowed).

--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -279,16 +279,21 @@
      * @param reason what the call showed, for the log
      */
     public void onSilent(Target target, String reason) {
-        if (!target.health.onSilent(System.nanoTime())) {
+        long now = System.nanoTime();
+        reportDeaths(target, now);
+        if (!target.health.onSilent(now)) {
             return;
         }
         LogEvent.of("target.silent").with("target", target.id()).with("reason", reason).warn();
         client.closeIdleConnections(target.registration.host(), target.registration.port());
-        long now = System.nanoTime();
+        probe(target);
+    }
+
+    /** Reports a target that does not answer as killed by the requests whose connections broke. */
+    private void reportDeaths(Target target, long now) {
         target.brokenAt.values().removeIf(at -> now - at >= DEATH_DETECTION_WINDOW.toNanos());
         target.brokenAt.keySet().forEach(request -> deathListener.onDeath(request, target.id()));
         target.brokenAt.clear();
-        probe(target);
     }
 
     /**
@@ -343,6 +348,7 @@
         boolean hasAnswered = status != null && status == OK;
         target.health.onProbeEnded(hasAnswered, System.nanoTime());
         if (hasAnswered) {
+            target.onBytesReceived(System.nanoTime());
             LogEvent.of("target.answers").with("target", target.id()).info();
             return;
         }
