Probe targets of another zone only with calls that may leave the zone

Cause: the router let any call probe a target that had been left out, also one in another zone while the own zone had free slots; such a stream is lost with the other zone. Test fails first: aTargetOfAnotherZoneIsProbedOnlyByCallsThatLeaveTheZone ('expected: <a> but was: <b>').

ZoneLossTest opened its streams once the entry served, which the other zone's target could do as well; it now waits until the entry may use the target of its own zone. What it checks is unchanged.

--- a/core/src/main/java/org/sardinelift/core/route/Router.java
+++ b/core/src/main/java/org/sardinelift/core/route/Router.java
@@ -72,6 +72,7 @@
                 ranked(pool, request).stream()
                         .filter(target -> target.admission() == Ejection.Admission.PROBE)
                         .filter(target -> request.failedTargets().isEmpty())
+                        .filter(target -> target.zone().equals(zone) || mayLeaveZone(pool))
                         .findFirst();
         if (probe.isPresent()) {
             return probe;
@@ -83,6 +84,18 @@
                 : chooseByZone(admitted, request);
     }
 
+    /** Whether the zone has no target that takes calls, or only overloaded ones. */
+    private boolean mayLeaveZone(List<Candidate> pool) {
+        List<Candidate> local =
+                subset(
+                        matching(
+                                pool,
+                                target ->
+                                        target.zone().equals(zone)
+                                                && target.admission() == Ejection.Admission.IN));
+        return local.isEmpty() || meanUtilization(local) >= spillPressure;
+    }
+
     private Optional<Candidate> chooseByZone(List<Candidate> pool, RouteRequest request) {
         List<Candidate> local = subset(matching(pool, target -> target.zone().equals(zone)));
         if (!local.isEmpty() && meanUtilization(local) < spillPressure) {
--- a/core/src/test/java/org/sardinelift/core/route/RouterTest.java
+++ b/core/src/test/java/org/sardinelift/core/route/RouterTest.java
@@ -62,6 +62,35 @@
         assertEquals("b", ROUTER.choose(overloaded, request("m", "x")).orElseThrow().name());
     }
 
+    /**
+     * A call that probes a target of another zone is lost with that zone, and slower until then.
+     */
+    @Example
+    void aTargetOfAnotherZoneIsProbedOnlyByCallsThatLeaveTheZone() {
+        Candidate remote = inAdmission(target("b", "z1", 0), Ejection.Admission.PROBE);
+        List<Candidate> idle = List.of(target("a", "z0", 1), remote);
+        List<Candidate> overloaded = List.of(target("a", "z0", 9), remote);
+        List<Candidate> without =
+                List.of(inAdmission(target("a", "z0", 1), Ejection.Admission.OUT), remote);
+
+        assertEquals("a", ROUTER.choose(idle, request("m", "x")).orElseThrow().name());
+        assertEquals("b", ROUTER.choose(overloaded, request("m", "x")).orElseThrow().name());
+        assertEquals("b", ROUTER.choose(without, request("m", "x")).orElseThrow().name());
+    }
+
+    private static Candidate inAdmission(Candidate from, Ejection.Admission admission) {
+        return new Candidate(
+                from.name(),
+                from.service(),
+                from.zone(),
+                from.models(),
+                from.slots(),
+                from.inFlight(),
+                from.reportedCalls(),
+                from.isUsable(),
+                admission);
+    }
+
     @Property(seed = "42")
     void anOverloadedPreferredTargetIsNotChosen(@ForAll Random random) {
         String key = "p" + random.nextLong();
--- a/system-tests/src/test/java/org/sardinelift/system/Fleet.java
+++ b/system-tests/src/test/java/org/sardinelift/system/Fleet.java
@@ -206,6 +206,18 @@
                                         .until(() -> isReady(name) && isServing(name)));
     }
 
+    /** Returns whether an entry may send calls to the target of a companion. */
+    boolean isUsable(String entry, String companion) throws IOException {
+        String url = "http://127.0.0.1:" + processes.get(entry).port("operators");
+        String body = send(request(url + "/targets").GET()).body();
+        for (JsonNode target : parseJson(body).path("targets")) {
+            if (target.path("companion").asText().equals(companion)) {
+                return target.path("usable").asBoolean();
+            }
+        }
+        return false;
+    }
+
     private boolean isReady(String entry) throws IOException {
         String url = "http://127.0.0.1:" + processes.get(entry).port("operators") + "/readyz";
         return send(request(url).GET()).statusCode() == 200;
--- a/system-tests/src/test/java/org/sardinelift/system/OnlineFailureTest.java
+++ b/system-tests/src/test/java/org/sardinelift/system/OnlineFailureTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -65,7 +64,9 @@
         Streams streams = openStreams("entry-1", STREAMS, 100);
 
         fleet.processes.get("c-engine-1").suspend();
-        Awaitility.await().atMost(AWAIT_TIMEOUT).until(() -> !isUsable("entry-1", "c-engine-1"));
+        Awaitility.await()
+                .atMost(AWAIT_TIMEOUT)
+                .until(() -> !fleet.isUsable("entry-1", "c-engine-1"));
         HttpResponse<String> refused = fleet.chat("entry-1", Fleet.KEY, "frozen?", 1);
         assertEquals(503, refused.statusCode(), refused.body());
         assertEquals("not_run", fleet.parseJson(refused.body()).path("outcome").asText());
@@ -74,17 +75,6 @@
         assertComplete(streams, 100);
     }
 
-    private boolean isUsable(String entry, String companion) throws IOException {
-        String url = "http://127.0.0.1:" + fleet.processes.get(entry).port("operators");
-        String body = fleet.send(Fleet.request(url + "/targets").GET()).body();
-        for (JsonNode target : fleet.parseJson(body).path("targets")) {
-            if (target.path("companion").asText().equals(companion)) {
-                return target.path("usable").asBoolean();
-            }
-        }
-        return false;
-    }
-
     @Test
     void streamsContinueAfterTheConnectionsWentSilent() throws Exception {
         fleet.startTarget("engine-1", "registry", true, "--token-us", "20000");
--- a/system-tests/src/test/java/org/sardinelift/system/ZoneLossTest.java
+++ b/system-tests/src/test/java/org/sardinelift/system/ZoneLossTest.java
@@ -35,6 +35,10 @@
         fleet.startTarget("engine-1", "registry", true, "--token-us", "20000");
         fleet.startEntry("entry-1");
         fleet.awaitServing();
+        // Until then streams of this zone would run in the other one.
+        Awaitility.await()
+                .atMost(AWAIT_TIMEOUT)
+                .until(() -> fleet.isUsable("entry-2", "c-engine-2"));
     }
 
     @AfterEach
