Send nothing more to a target that states in a response that it is leaving

Until now only the list of targets told which ones leave, and it lags. The table remembers the incarnation, also while the list lacks it or repeats that it is ready; a new one under the same id or address is free of it.

A response that states no call id, or another one, is no longer taken as the answer (421 apart). Heads are read in one place, ResponseHead, for calls and items.

--- a/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
@@ -1,5 +1,7 @@
 package org.sardinelift.gateway;
 
+import java.util.Set;
+
 /**
  * Names of the headers that callers, instances and targets exchange in addition to those of HTTP.
  *
@@ -9,6 +11,7 @@
  * @param expectedTarget incarnation of the target that a call is meant for
  * @param notRun present in a target's response if the call was not run
  * @param signature a target's signature of its response
+ * @param leaving names under which a target's response states that the target is about to stop
  * @param load running calls, waiting calls and slots of a target, separated by commas
  * @param lastEventId number of the event after which a stream resumes
  * @param waitMs time that a read may wait for a result, milliseconds
@@ -20,6 +23,7 @@
         String expectedTarget,
         String notRun,
         String signature,
+        Set<String> leaving,
         String load,
         String lastEventId,
         String waitMs) {}
--- a/gateway/src/main/java/org/sardinelift/gateway/call/LoadHeader.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/LoadHeader.java
@@ -6,7 +6,7 @@
 import org.tinylog.Logger;
 
 /** Parses the load header of target responses: running calls, waiting calls, slots. */
-public final class LoadHeader {
+final class LoadHeader {
     private static final int FIELD_COUNT = 3;
 
     private LoadHeader() {}
@@ -17,7 +17,7 @@
      * @param text value of the header, null if it is absent
      * @return sum of running and waiting calls, or empty if the header is absent or unreadable
      */
-    public static OptionalInt parse(@Nullable String text) {
+    static OptionalInt parse(@Nullable String text) {
         if (text == null) {
             return OptionalInt.empty();
         }
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -0,0 +1,100 @@
+package org.sardinelift.gateway.call;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.gateway.HeaderNames;
+
+/**
+ * Head of a target's response.
+ *
+ * @param status HTTP status code
+ * @param headers headers in order
+ * @param callId id of the call that the response belongs to, empty if the target didn't state it
+ * @param isSigned whether it has the target's signature
+ * @param isNotRun whether the target states that it didn't run the call
+ * @param isLeaving whether the target states that it is about to stop
+ * @param statedCalls calls running and waiting at the target, empty if it didn't state them
+ */
+public record ResponseHead(
+        int status,
+        List<Map.Entry<String, String>> headers,
+        Optional<String> callId,
+        boolean isSigned,
+        boolean isNotRun,
+        boolean isLeaving,
+        OptionalInt statedCalls) {
+    private static final int MISDIRECTED = 421;
+    private static final int SUCCESS_CLASS = 2;
+    private static final int STATUS_CLASS_SIZE = 100;
+    private static final String TRUE = "1";
+
+    /** Stands for a head that has not been received yet. */
+    public static final ResponseHead NONE =
+            new ResponseHead(
+                    0, List.of(), Optional.empty(), false, false, false, OptionalInt.empty());
+
+    /**
+     * Reads a head.
+     *
+     * @param status HTTP status code
+     * @param headers headers in order
+     * @param names names of the headers
+     * @return the head
+     */
+    public static ResponseHead read(
+            int status, List<Map.Entry<String, String>> headers, HeaderNames names) {
+        return new ResponseHead(
+                status,
+                headers,
+                Optional.ofNullable(value(headers, names.callId())),
+                value(headers, names.signature()) != null,
+                value(headers, names.notRun()) != null,
+                names.leaving().stream().anyMatch(name -> TRUE.equals(value(headers, name))),
+                LoadHeader.parse(value(headers, names.load())));
+    }
+
+    /**
+     * Whether the call succeeded, as far as the status tells.
+     *
+     * @return true for a status of the success class
+     */
+    public boolean isSuccess() {
+        return status / STATUS_CLASS_SIZE == SUCCESS_CLASS;
+    }
+
+    /**
+     * Whether the call reached another target than the one that it was meant for.
+     *
+     * @return true if the address belongs to another target now
+     */
+    public boolean isMisdirected() {
+        return status == MISDIRECTED;
+    }
+
+    /**
+     * Finds out why the response can't be attributed to a call. A connection in use again may
+     * deliver a second copy of an earlier response; only the id tells it apart.
+     *
+     * @param expectedCallId id of the call that was sent
+     * @return the reason, or empty if the response belongs to the call
+     */
+    public Optional<String> findForeign(String expectedCallId) {
+        if (isMisdirected() || callId.isPresent() && callId.get().equals(expectedCallId)) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                callId.map(id -> "the response belongs to call " + id)
+                        .orElse("the response states no call id"));
+    }
+
+    private static @Nullable String value(List<Map.Entry<String, String>> headers, String name) {
+        return headers.stream()
+                .filter(header -> header.getKey().equalsIgnoreCase(name))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse(null);
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -3,12 +3,12 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
 import org.sardinelift.core.stream.EventStreamParser;
 import org.sardinelift.core.stream.StreamEvent;
-import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.TargetTable.Target;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
@@ -16,10 +16,6 @@
 
 /** One attempt of a call at one target. Used on the event loop. */
 final class TargetAttempt implements HttpResponseListener {
-    private static final int MISDIRECTED = 421;
-    private static final int SUCCESS_CLASS = 2;
-    private static final int STATUS_CLASS_SIZE = 100;
-
     private final ForwardedCall forwardedCall;
     private final Target target;
     private final TargetLoad load;
@@ -29,8 +25,7 @@
     private long lastProgressAt;
     private long firstEventAt;
     private int events;
-    private int status;
-    private List<Map.Entry<String, String>> headers = List.of();
+    private ResponseHead head = ResponseHead.NONE;
     private @Nullable EventStreamParser parser;
 
     TargetAttempt(ForwardedCall forwardedCall, Target target, TargetLoad load, long sentAt) {
@@ -59,11 +54,11 @@
     }
 
     int status() {
-        return status;
+        return head.status();
     }
 
     List<Map.Entry<String, String>> headers() {
-        return headers;
+        return head.headers();
     }
 
     long lastProgressAt() {
@@ -75,24 +70,22 @@
     }
 
     @Override
-    public void onHead(int receivedStatus, List<Map.Entry<String, String>> receivedHeaders) {
+    public void onHead(int status, List<Map.Entry<String, String>> headers) {
         if (!forwardedCall.isCurrent(this)) {
             return;
         }
-        status = receivedStatus;
-        headers = receivedHeaders;
+        head = ResponseHead.read(status, headers, forwardedCall.context().headers().names());
         recordProgress();
-        HeaderNames names = forwardedCall.context().headers().names();
-        String echoed = header(names.callId());
-        if (echoed != null && !echoed.equals(forwardedCall.call().id())) {
-            fail("the response belongs to call " + echoed);
+        forwardedCall.context().targets().onResponseHead(target, head);
+        Optional<String> foreign = head.findForeign(forwardedCall.call().id());
+        if (foreign.isPresent()) {
+            fail(foreign.get());
             return;
         }
-        recordLoad(header(names.load()));
-        boolean isSuccess = status / STATUS_CLASS_SIZE == SUCCESS_CLASS;
-        if (isSuccess && header(names.signature()) == null) {
+        recordLoad();
+        if (head.isSuccess() && !head.isSigned()) {
             fail("the response has no signature header");
-        } else if (isSuccess && forwardedCall.isStream()) {
+        } else if (head.isSuccess() && forwardedCall.isStream()) {
             parser =
                     forwardedCall.lastEventId().isPresent()
                             ? EventStreamParser.resumingAfter(
@@ -101,8 +94,8 @@
         }
     }
 
-    private void recordLoad(@Nullable String loadHeader) {
-        LoadHeader.parse(loadHeader)
+    private void recordLoad() {
+        head.statedCalls()
                 .ifPresent(
                         calls ->
                                 forwardedCall
@@ -155,14 +148,13 @@
             return;
         }
         recordProgress();
-        HeaderNames names = forwardedCall.context().headers().names();
-        if (status == MISDIRECTED) {
+        if (head.isMisdirected()) {
             forwardedCall.context().targets().onMisdirected(target);
             forwardedCall.onAttemptFailed(
                     this, RunOutcome.NOT_RUN, "the address belongs to another target now");
-        } else if (header(names.notRun()) != null) {
+        } else if (head.isNotRun()) {
             forwardedCall.onAttemptFailed(
-                    this, RunOutcome.NOT_RUN, "refused with status " + status);
+                    this, RunOutcome.NOT_RUN, "refused with status " + head.status());
         } else if (parser == null) {
             forwardedCall.onCompleteResponse(this, body.toByteArray());
         } else if (parser.hasPartialEvent()) {
@@ -197,12 +189,4 @@
         forwardedCall.context().targets().onCallFailed(target);
         forwardedCall.onAttemptFailed(this, RunOutcome.UNKNOWN, reason);
     }
-
-    private @Nullable String header(String name) {
-        return headers.stream()
-                .filter(entry -> entry.getKey().equalsIgnoreCase(name))
-                .map(Map.Entry::getValue)
-                .findFirst()
-                .orElse(null);
-    }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,9 @@
 
     private static final int OK = 200;
 
+    /** Leaving incarnations that are remembered while the list of targets lacks them. */
+    private static final int MAX_LEAVING_INCARNATIONS = 10_000;
+
     private final LoadTracker loadTracker;
     private final HttpClient client;
     private final EventLoop loop;
@@ -37,6 +41,7 @@
     private final Duration typicalFirstEvent;
     private final Duration typicalCallTime;
     private final Map<String, Target> targets = new HashMap<>();
+    private final Set<Incarnation> leavingIncarnations = new LinkedHashSet<>();
     private DeathListener deathListener = (request, target) -> {};
 
     /** Is notified of targets that died. */
@@ -50,6 +55,13 @@
         void onDeath(long request, String target);
     }
 
+    /** One life of a target; a restarted target may keep its id and address. */
+    private record Incarnation(String id, long startedAtMs, String host, int port) {
+        static Incarnation of(RegisteredTarget entry) {
+            return new Incarnation(entry.id(), entry.startedAtMs(), entry.host(), entry.port());
+        }
+    }
+
     /** A target with its registration and health. */
     public static final class Target {
         private RegisteredTarget registration;
@@ -169,10 +181,7 @@
     private void putTarget(RegisteredTarget entry) {
         Target known = targets.get(entry.id());
         boolean isSameIncarnation =
-                known != null
-                        && known.registration.startedAtMs() == entry.startedAtMs()
-                        && known.registration.host().equals(entry.host())
-                        && known.registration.port() == entry.port();
+                known != null && Incarnation.of(known.registration).equals(Incarnation.of(entry));
         if (isSameIncarnation) {
             known.registration = entry;
         } else {
@@ -238,8 +247,9 @@
                 .toList();
     }
 
-    private static boolean isAvailable(Target target, long now) {
+    private boolean isAvailable(Target target, long now) {
         return !target.registration.isLeaving()
+                && !leavingIncarnations.contains(Incarnation.of(target.registration))
                 && !target.isMisdirected
                 && target.health.isUsable(now);
     }
@@ -261,6 +271,26 @@
                 target.health.timeToFirstEventNanos());
     }
 
+    /**
+     * The head of a response arrived. A target that states in it that it is leaving gets no further
+     * calls, whatever the list of targets says, which may lag.
+     *
+     * @param target the target
+     * @param head the head
+     */
+    public void onResponseHead(Target target, ResponseHead head) {
+        if (!head.isLeaving()
+                || head.isMisdirected()
+                || !leavingIncarnations.add(Incarnation.of(target.registration))) {
+            return;
+        }
+        if (leavingIncarnations.size() > MAX_LEAVING_INCARNATIONS) {
+            leavingIncarnations.remove(leavingIncarnations.iterator().next());
+        }
+        client.closeIdleConnections(target.registration.host(), target.registration.port());
+        LogEvent.of("target.leaving").with("target", target.id()).with("source", "response").info();
+    }
+
     /**
      * A target rejected a call for another one: the address has been reassigned.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -2,13 +2,14 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.joblog.ItemProgress;
 import org.sardinelift.core.joblog.ItemSchedule;
 import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.core.stream.EventStreamParser;
 import org.sardinelift.core.stream.StreamEvent;
-import org.sardinelift.gateway.call.LoadHeader;
+import org.sardinelift.gateway.call.ResponseHead;
 import org.sardinelift.gateway.call.TargetTable.Target;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
@@ -16,10 +17,7 @@
 
 /** A run of an item on a target. On the event loop. */
 final class ItemRun implements HttpResponseListener {
-    private static final int MISDIRECTED = 421;
     private static final int UNPROCESSABLE = 422;
-    private static final int SUCCESS_STATUS_CLASS = 2;
-    private static final int STATUS_CLASS_SIZE = 100;
 
     private final ItemRunner runner;
     private final ItemSchedule.ScheduledItem scheduledItem;
@@ -28,8 +26,7 @@
     private Runnable canceller = () -> {};
     private long startedAt;
     private int eventCount;
-    private int status;
-    private List<Map.Entry<String, String>> headers = List.of();
+    private ResponseHead head = ResponseHead.NONE;
     private @Nullable EventStreamParser parser;
 
     ItemRun(
@@ -79,29 +76,28 @@
     }
 
     @Override
-    public void onHead(int responseStatus, List<Map.Entry<String, String>> responseHeaders) {
+    public void onHead(int status, List<Map.Entry<String, String>> headers) {
         if (!runner.isRunning(this)) {
             return;
         }
-        status = responseStatus;
-        headers = responseHeaders;
+        head = ResponseHead.read(status, headers, runner.headers());
         long now = System.nanoTime();
         target.onBytesReceived(now);
-        String echoed = header(runner.headers().callId());
-        if (echoed != null && !echoed.equals(item().item().id())) {
-            fail("the answer belongs to call " + echoed);
+        runner.table().onResponseHead(target, head);
+        Optional<String> foreign = head.findForeign(item().item().id());
+        if (foreign.isPresent()) {
+            fail(foreign.get());
             return;
         }
-        LoadHeader.parse(header(runner.headers().load()))
+        head.statedCalls()
                 .ifPresent(
                         calls ->
                                 runner.network()
                                         .targetLoads()
                                         .onTargetLoad(target.id(), calls, now));
-        boolean isSuccess = status / STATUS_CLASS_SIZE == SUCCESS_STATUS_CLASS;
-        if (isSuccess && header(runner.headers().signature()) == null) {
+        if (head.isSuccess() && !head.isSigned()) {
             fail("the answer has no signature");
-        } else if (isSuccess) {
+        } else if (head.isSuccess()) {
             parser =
                     item().lastEventId().isPresent()
                             ? EventStreamParser.resumingAfter(item().lastEventId().getAsLong())
@@ -131,13 +127,13 @@
         if (!runner.isRunning(this)) {
             return;
         }
-        if (status == MISDIRECTED) {
+        if (head.isMisdirected()) {
             runner.table().onMisdirected(target);
             runner.onRefused(this, "another target has the address");
-        } else if (header(runner.headers().notRun()) != null) {
-            runner.onRefused(this, "refused with status " + status);
+        } else if (head.isNotRun()) {
+            runner.onRefused(this, "refused with status " + head.status());
         } else if (parser == null) {
-            runner.onFailed(this, status, status == UNPROCESSABLE);
+            runner.onFailed(this, head.status(), head.status() == UNPROCESSABLE);
         } else if (parser.hasPartialEvent()) {
             fail("the stream ends within an event");
         } else {
@@ -165,12 +161,4 @@
         runner.table().onCallFailed(target);
         runner.onInterrupted(this, reason);
     }
-
-    private @Nullable String header(String name) {
-        return headers.stream()
-                .filter(field -> field.getKey().equalsIgnoreCase(name))
-                .map(Map.Entry::getValue)
-                .findFirst()
-                .orElse(null);
-    }
 }
