Bound responses in bytes and time, and reuse no connection on which bytes follow one

Cause 1: a buffered response could grow without bound, and each byte of a response extended its time. Buffered responses now end at 16 MiB or ten silence timeouts. Cause 2: bytes after a response that were not a whole line stayed in the decoder of an idle connection and were read as the start of the next response; one that followed in the same segment could be taken as the answer of a call that was sent at once. A connection is now reused only if nothing is left to decode.

HttpClientTest plays bytes without end in status line, headers, interim responses, body, chunks, chunk extensions, trailers and in place of a response.

--- a/http/src/main/java/org/sardinelift/http/ClientConnection.java
+++ b/http/src/main/java/org/sardinelift/http/ClientConnection.java
@@ -11,13 +11,23 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
-/** Reads the responses of one connection and passes them to its current call. */
+/**
+ * Reads the responses of one connection and passes them to its current call. The connection is
+ * reused only if no byte follows a response: such bytes would be read as the next one.
+ */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private final ResponseDecoder decoder;
     private @Nullable ClientExchange currentExchange;
+    private @Nullable ClientExchange completedExchange;
     private boolean isInterim;
 
-    void attach(ClientExchange next) {
+    ClientConnection(ResponseDecoder decoder) {
+        this.decoder = decoder;
+    }
+
+    void attach(ClientExchange next, boolean isHeadRequest) {
         currentExchange = next;
+        decoder.setForHeadRequest(isHeadRequest);
     }
 
     @Override
@@ -25,20 +35,18 @@
         try {
             ClientExchange current = currentExchange;
             if (current == null) {
-                // Bytes without a request: later responses could not be matched to requests either.
                 context.close();
             } else if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
                 failCall(context, part.decoderResult().cause());
             } else {
-                readMessage(context, current, message);
+                readMessage(current, message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void readMessage(
-            ChannelHandlerContext context, ClientExchange current, Object message) {
+    private void readMessage(ClientExchange current, Object message) {
         if (message instanceof HttpResponse head) {
             isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (!isInterim) {
@@ -49,19 +57,39 @@
             current.onData(ByteBufUtil.getBytes(content.content()));
             if (content instanceof LastHttpContent) {
                 currentExchange = null;
-                current.onEnd(context.channel());
+                completedExchange = current;
             }
         }
     }
 
+    /** All bytes received so far have been decoded, unless they are an incomplete message. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (currentExchange == null && decoder.hasUndecodedBytes()) {
+            context.close();
+        }
+        endCompleted(context);
+        context.fireChannelReadComplete();
+    }
+
+    private void endCompleted(ChannelHandlerContext context) {
+        ClientExchange completed = completedExchange;
+        completedExchange = null;
+        if (completed != null) {
+            completed.onEnd(context.channel());
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        endCompleted(context);
         failCall(context, ClientExchange.closed());
     }
 
     /** The end of a connection completes a response without a length, but a reset fails it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        endCompleted(context);
         failCall(context, cause);
     }
 
--- a/http/src/main/java/org/sardinelift/http/ClientExchange.java
+++ b/http/src/main/java/org/sardinelift/http/ClientExchange.java
@@ -21,6 +21,7 @@
 
     private final HttpClient client;
     private final HttpCall call;
+    private final ResponseBounds bounds;
     private final HttpResponseListener listener;
     private volatile @Nullable Channel channel;
     private volatile boolean isCancelled;
@@ -30,12 +31,19 @@
     private boolean isWritten;
     private @Nullable String keepAliveHeader;
     private boolean isDone;
+    private long sentAt;
     private long lastByteNanos;
+    private long bodyBytes;
     private @Nullable ScheduledFuture<?> silenceTimer;
 
-    ClientExchange(HttpClient client, HttpCall call, HttpResponseListener listener) {
+    ClientExchange(
+            HttpClient client,
+            HttpCall call,
+            ResponseBounds bounds,
+            HttpResponseListener listener) {
         this.client = client;
         this.call = call;
+        this.bounds = bounds;
         this.listener = listener;
     }
 
@@ -59,7 +67,7 @@
             client.connect(call, this);
             return;
         }
-        target.pipeline().get(ClientConnection.class).attach(this);
+        target.pipeline().get(ClientConnection.class).attach(this, call.method().equals("HEAD"));
         isWritten = false;
         target.writeAndFlush(request())
                 .addListener(
@@ -69,7 +77,8 @@
                                 onConnectionLost(future.cause());
                             }
                         });
-        lastByteNanos = System.nanoTime();
+        sentAt = System.nanoTime();
+        lastByteNanos = sentAt;
         checkSilence(target);
     }
 
@@ -89,25 +98,32 @@
     }
 
     private void checkSilence(Channel target) {
-        long limitNanos = call.silenceTimeout().toNanos();
-        long silentNanos = System.nanoTime() - lastByteNanos;
         if (isDone) {
             return;
         }
-        if (silentNanos >= limitNanos) {
-            fail(
-                    new TimeoutException(
-                            "no byte received for " + call.silenceTimeout().toMillis() + " ms"),
-                    true);
-            target.close();
-            return;
+        long now = System.nanoTime();
+        long silenceLeft = call.silenceTimeout().toNanos() - (now - lastByteNanos);
+        long timeLeft = bounds.maxTime().toNanos() - (now - sentAt);
+        if (silenceLeft <= 0) {
+            abort("no byte received for " + call.silenceTimeout().toMillis() + " ms");
+        } else if (timeLeft <= 0) {
+            abort("the response is not complete after " + bounds.maxTime().toMillis() + " ms");
+        } else {
+            silenceTimer =
+                    target.eventLoop()
+                            .schedule(
+                                    () -> checkSilence(target),
+                                    Math.min(silenceLeft, timeLeft) + 1,
+                                    TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void abort(String reason) {
+        Channel open = channel;
+        fail(new TimeoutException(reason), true);
+        if (open != null) {
+            open.close();
         }
-        silenceTimer =
-                target.eventLoop()
-                        .schedule(
-                                () -> checkSilence(target),
-                                limitNanos - silentNanos + 1,
-                                TimeUnit.NANOSECONDS);
     }
 
     /** Cancels the timer too: it would keep the call and its body in memory until it fires. */
@@ -119,6 +135,9 @@
     }
 
     void onHead(HttpResponse head) {
+        if (isDone) {
+            return;
+        }
         lastByteNanos = System.nanoTime();
         isHeadReceived = true;
         isKeepAlive = HttpUtil.isKeepAlive(head);
@@ -128,15 +147,25 @@
 
     void onData(byte[] part) {
         lastByteNanos = System.nanoTime();
-        if (part.length > 0) {
+        bodyBytes += part.length;
+        if (isDone) {
+            return;
+        }
+        if (bodyBytes > bounds.maxBodyBytes()) {
+            abort("the body is longer than " + bounds.maxBodyBytes() + " bytes");
+        } else if (part.length > 0) {
             listener.onData(part);
         }
     }
 
     void onEnd(Channel source) {
+        if (isDone) {
+            source.close();
+            return;
+        }
         finish();
         // A peer that responded early would read the next request as the rest of this body.
-        if (isKeepAlive && isWritten && !isCancelled) {
+        if (isKeepAlive && isWritten && !isCancelled && source.isActive()) {
             client.returnToPool(call, source, keepAliveHeader);
         } else {
             source.close();
--- a/http/src/main/java/org/sardinelift/http/HttpClient.java
+++ b/http/src/main/java/org/sardinelift/http/HttpClient.java
@@ -8,7 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.ssl.SslContext;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
@@ -102,27 +102,34 @@
                                             channel.pipeline()
                                                     .addLast(tls.get().newHandler(channel.alloc()));
                                         }
+                                        ResponseDecoder decoder =
+                                                new ResponseDecoder(
+                                                        MAX_LINE_BYTES,
+                                                        MAX_HEADER_BYTES,
+                                                        MAX_CHUNK_BYTES);
                                         channel.pipeline()
-                                                .addLast(
-                                                        new HttpClientCodec(
-                                                                MAX_LINE_BYTES,
-                                                                MAX_HEADER_BYTES,
-                                                                MAX_CHUNK_BYTES))
-                                                .addLast(new ClientConnection());
+                                                .addLast(new HttpRequestEncoder())
+                                                .addLast(decoder)
+                                                .addLast(new ClientConnection(decoder));
                                     }
                                 });
         return new HttpClient(bootstrap, maxIdleNanos);
     }
 
     /**
-     * Sends a request and streams the response to a listener.
+     * Sends a request and streams the response to a listener, which bounds what it keeps and how
+     * long it waits.
      *
      * @param call the request
      * @param listener receives the response
      * @return cancels the call when run: its connection is closed
      */
     public Runnable send(HttpCall call, HttpResponseListener listener) {
-        ClientExchange exchange = new ClientExchange(this, call, listener);
+        return send(call, ResponseBounds.ofStreamed(), listener);
+    }
+
+    private Runnable send(HttpCall call, ResponseBounds bounds, HttpResponseListener listener) {
+        ClientExchange exchange = new ClientExchange(this, call, bounds, listener);
         Channel pooled = call.needsFreshConnection() ? null : pollIdle(call);
         if (pooled != null) {
             exchange.sendOver(pooled, true);
@@ -133,7 +140,8 @@
     }
 
     /**
-     * Sends a request and buffers the complete response.
+     * Sends a request and buffers the complete response, which may have up to 16 MiB and take up to
+     * ten silence timeouts.
      *
      * @param call the request
      * @return the response; fails with {@link HttpCallException} if there is none
@@ -143,6 +151,7 @@
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         send(
                 call,
+                ResponseBounds.ofBuffered(call.silenceTimeout()),
                 new HttpResponseListener() {
                     private int status;
                     private List<Map.Entry<String, String>> headers = List.of();
--- a/http/src/test/java/org/sardinelift/http/HttpClientTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpClientTest.java
@@ -16,9 +16,15 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The client's handling of peers that violate HTTP, reset, or respond early. */
 class HttpClientTest {
@@ -44,7 +50,7 @@
 
     /** Behaviour of the peer on one connection. */
     private interface Session {
-        void serve(Socket socket, InputStream in) throws IOException;
+        void serve(Socket socket, InputStream in) throws IOException, InterruptedException;
     }
 
     /** Serves one connection per session, in order, each in its own thread. */
@@ -65,7 +71,7 @@
 
     /** A task of the peer; its connection may be closed at any time. */
     private interface Task {
-        void run() throws IOException;
+        void run() throws IOException, InterruptedException;
     }
 
     private static void start(Task task) {
@@ -74,7 +80,7 @@
                         () -> {
                             try {
                                 task.run();
-                            } catch (IOException expected) {
+                            } catch (IOException | InterruptedException expected) {
                                 // The client or the end of the test closed the connection.
                             }
                         });
@@ -247,4 +253,129 @@
 
         assertEquals("two", client.call(call()).join().text());
     }
+
+    /**
+     * Bytes that are no response may come without end, in each place of a response. Guards against
+     * a call that never ends, memory that grows with the bytes, and a connection that stays open.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "status line|HTTP/1.1 200 |x",
+                "header|HTTP/1.1 200 OK\\r\\na: |x",
+                "headers|HTTP/1.1 200 OK\\r\\n|a: b\\r\\n",
+                "interim responses||HTTP/1.1 102 Processing\\r\\n\\r\\n",
+                "body|HTTP/1.1 200 OK\\r\\n\\r\\n|x",
+                "chunks|HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n"
+                        + "|1\\r\\nx\\r\\n",
+                "chunk extension|HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n1;|x",
+                "trailers|HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n"
+                        + "0\\r\\n|a: b\\r\\n",
+                "no response||x"
+            })
+    void aResponseWithoutEndFailsAndItsConnectionIsClosed(
+            String where, String start, String repeated) throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        serve(
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, unescape(start));
+                    String part = unescape(repeated);
+                    writeUntilClosed(socket, part.repeat(8_192 / part.length()), 0, closed);
+                });
+
+        assertThrows(
+                CompletionException.class,
+                () -> client(SILENCE_TIMEOUT).call(call(Duration.ofSeconds(1))).join());
+        assertTrue(closed.await(5, TimeUnit.SECONDS), where);
+    }
+
+    /** The same, a few bytes at a time: each byte must not extend the time of the call. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 200 |x",
+                "HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n1;|x",
+                "HTTP/1.1 200 OK\\r\\n\\r\\n|x",
+                "|HTTP/1.1 102 Processing\\r\\n\\r\\n"
+            })
+    void aResponseThatTricklesFailsInTime(String start, String repeated) throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        serve(
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, unescape(start));
+                    writeUntilClosed(socket, unescape(repeated), 20, closed);
+                });
+
+        assertThrows(
+                ExecutionException.class,
+                () ->
+                        client(SILENCE_TIMEOUT)
+                                .call(call(Duration.ofMillis(200)))
+                                .get(4, TimeUnit.SECONDS));
+        assertTrue(closed.await(5, TimeUnit.SECONDS));
+    }
+
+    private HttpCall call(Duration silenceTimeout) {
+        return HttpCall.of(
+                "127.0.0.1",
+                peer.getLocalPort(),
+                "POST",
+                "/a",
+                Map.of(),
+                new byte[0],
+                silenceTimeout);
+    }
+
+    private static String unescape(String text) {
+        return text == null ? "" : text.replace("\\r", "\r").replace("\\n", "\n");
+    }
+
+    private static void writeUntilClosed(
+            Socket socket, String text, int pauseMs, CountDownLatch closed) {
+        try {
+            while (true) {
+                write(socket, text);
+                TimeUnit.MILLISECONDS.sleep(pauseMs);
+            }
+        } catch (IOException | InterruptedException e) {
+            closed.countDown();
+        }
+    }
+
+    /**
+     * Guards against an answer that is passed to the wrong call: bytes after a response, complete
+     * or not, would be read as the response to the next request on the connection.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"stray", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale"})
+    void doesNotReuseAConnectionOnWhichBytesFollowedAResponse(String excess) throws Exception {
+        for (int pauseMs : new int[] {0, 100}) {
+            serve(
+                    (socket, in) -> {
+                        readHead(in);
+                        write(socket, COMPLETE_RESPONSE + (pauseMs == 0 ? excess : ""));
+                        if (pauseMs > 0) {
+                            TimeUnit.MILLISECONDS.sleep(pauseMs);
+                            write(socket, excess);
+                        }
+                        readHead(in);
+                        write(socket, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong");
+                    },
+                    (socket, in) -> {
+                        readHead(in);
+                        write(socket, "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\ntwo");
+                        in.read();
+                    });
+            HttpClient client = client(SILENCE_TIMEOUT);
+
+            assertEquals("ok", client.call(call()).join().text());
+            TimeUnit.MILLISECONDS.sleep(2L * pauseMs);
+
+            assertEquals("two", client.call(call()).join().text());
+        }
+    }
 }
