Move calls and items from targets that send bytes but complete no event

Cause: any byte counted as progress, so a target that sends a byte of an unfinished event now and then kept a stream until its timeout, and an item for ever. Progress is now what brings a call forward: head, complete events, the body of a response that is no stream (16 MiB at most). The parser of events examines each byte once; it copied and examined all of an unfinished event for each part of it.

EndlessBytesTest: anItemWhoseTargetTricklesRunsElsewhere failed first ('not fulfilled within 6 seconds').

--- a/core/src/main/java/org/sardinelift/core/stream/EventStreamParser.java
+++ b/core/src/main/java/org/sardinelift/core/stream/EventStreamParser.java
@@ -22,6 +22,9 @@
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private byte[] buffer = new byte[0];
+    private int length;
+    private int lineStart;
+    private int scanned;
     private OptionalLong lastId;
     private Optional<String> fault = Optional.empty();
 
@@ -55,15 +58,15 @@
      * @return the events completed by them; none after a fault of the stream
      */
     public List<StreamEvent> parse(byte[] bytes) {
-        buffer = concatenate(buffer, bytes);
+        append(bytes);
         List<StreamEvent> events = new ArrayList<>();
-        int end = endOfEvent(buffer);
+        int end = findEndOfEvent();
         while (end > 0 && fault.isEmpty()) {
-            parseEvent(slice(buffer, 0, end)).ifPresent(events::add);
-            buffer = slice(buffer, end, buffer.length);
-            end = endOfEvent(buffer);
+            parseEvent(Arrays.copyOf(buffer, end)).ifPresent(events::add);
+            remove(end);
+            end = findEndOfEvent();
         }
-        if (buffer.length > MAX_EVENT_BYTES) {
+        if (length > MAX_EVENT_BYTES) {
             fault = Optional.of("an event is longer than " + MAX_EVENT_BYTES + " bytes");
         }
         return events;
@@ -93,7 +96,7 @@
      * @return true if the end of an event is missing
      */
     public boolean hasPartialEvent() {
-        return buffer.length > 0;
+        return length > 0;
     }
 
     private Optional<StreamEvent> parseEvent(byte[] raw) {
@@ -151,32 +154,39 @@
         }
     }
 
-    /** Returns the index after the first empty line, 0 if there is none. */
-    private static int endOfEvent(byte[] bytes) {
-        int lineStart = 0;
-        for (int i = 0; i < bytes.length; i++) {
-            if (bytes[i] == '\n') {
+    /**
+     * Returns the index after the first empty line, 0 if there is none. Each byte is examined once,
+     * however many parts an event arrives in.
+     */
+    private int findEndOfEvent() {
+        while (scanned < length) {
+            int index = scanned++;
+            if (buffer[index] == '\n') {
                 boolean isEmptyLine =
-                        i == lineStart || i == lineStart + 1 && bytes[lineStart] == '\r';
+                        index == lineStart || index == lineStart + 1 && buffer[lineStart] == '\r';
+                lineStart = index + 1;
                 if (isEmptyLine) {
-                    return i + 1;
+                    return lineStart;
                 }
-                lineStart = i + 1;
             }
         }
         return 0;
     }
 
-    private static byte[] concatenate(byte[] first, byte[] second) {
-        if (first.length == 0) {
-            return second;
+    private void append(byte[] bytes) {
+        int needed = length + bytes.length;
+        if (needed > buffer.length) {
+            buffer = Arrays.copyOf(buffer, Math.max(needed, 2 * buffer.length));
         }
-        byte[] joined = Arrays.copyOf(first, first.length + second.length);
-        System.arraycopy(second, 0, joined, first.length, second.length);
-        return joined;
+        System.arraycopy(bytes, 0, buffer, length, bytes.length);
+        length = needed;
     }
 
-    private static byte[] slice(byte[] bytes, int from, int to) {
-        return Arrays.copyOfRange(bytes, from, to);
+    /** Removes an event that ends where scanning has stopped. */
+    private void remove(int end) {
+        System.arraycopy(buffer, end, buffer, 0, length - end);
+        length -= end;
+        lineStart = 0;
+        scanned = 0;
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -239,6 +239,9 @@
                         && context.targets().usableLoads(call.service(), triedTargets, now).stream()
                                 .anyMatch(load -> load.freeSlotsForOnline() > 0);
         if (hasFreeTarget) {
+            if (current.hasPartialEvent()) {
+                context.targets().onCallFailed(target);
+            }
             current.cancel();
             onAttemptFailed(
                     current, RunOutcome.UNKNOWN, "silent for " + silentNanos / 1_000_000 + " ms");
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -16,6 +16,9 @@
 
 /** One attempt of a call at one target. Used on the event loop. */
 final class TargetAttempt implements HttpResponseListener {
+    /** A response that is not a stream is kept in memory until it is complete. */
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
     private final ForwardedCall forwardedCall;
     private final Target target;
     private final TargetLoad load;
@@ -69,6 +72,11 @@
         return events > 0;
     }
 
+    /** Whether bytes of an event have arrived, but not its end. */
+    boolean hasPartialEvent() {
+        return parser != null && parser.hasPartialEvent();
+    }
+
     @Override
     public void onHead(int status, List<Map.Entry<String, String>> headers) {
         if (!forwardedCall.isCurrent(this)) {
@@ -106,6 +114,7 @@
                                                 target.id(), calls, forwardedCall.context().now()));
     }
 
+    /** Called for what brings the call forward: bytes of an incomplete event don't. */
     private void recordProgress() {
         long now = forwardedCall.context().now();
         lastProgressAt = now;
@@ -117,13 +126,14 @@
         if (!forwardedCall.isCurrent(this)) {
             return;
         }
-        recordProgress();
+        target.onBytesReceived(forwardedCall.context().now());
         if (parser == null) {
-            body.writeBytes(part);
+            bufferBody(part);
             return;
         }
         List<StreamEvent> newEvents = parser.parse(part);
         if (!newEvents.isEmpty()) {
+            recordProgress();
             recordEvents(newEvents.size());
             forwardedCall.forwardEvents(this, newEvents);
         }
@@ -132,6 +142,15 @@
         }
     }
 
+    private void bufferBody(byte[] part) {
+        if (body.size() + part.length > MAX_BODY_BYTES) {
+            fail("the body is longer than " + MAX_BODY_BYTES + " bytes");
+            return;
+        }
+        recordProgress();
+        body.writeBytes(part);
+    }
+
     private void recordEvents(int count) {
         if (events == 0) {
             firstEventAt = lastProgressAt;
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -1,5 +1,6 @@
 package org.sardinelift.gateway.job;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,6 +26,7 @@
     private final Target target;
     private Runnable canceller = () -> {};
     private long startedAt;
+    private long lastEventAt;
     private int eventCount;
     private ResponseHead head = ResponseHead.NONE;
     private @Nullable EventStreamParser parser;
@@ -67,6 +69,7 @@
 
     void start(HttpClient client, HttpCall call, long now) {
         startedAt = now;
+        lastEventAt = now;
         canceller = client.send(call, this);
     }
 
@@ -110,9 +113,11 @@
         if (!runner.isRunning(this) || parser == null) {
             return;
         }
-        target.onBytesReceived(System.nanoTime());
+        long now = System.nanoTime();
+        target.onBytesReceived(now);
         List<StreamEvent> received = parser.parse(part);
         if (!received.isEmpty()) {
+            lastEventAt = now;
             eventCount += received.size();
             received.forEach(event -> item().onEvent(event.id(), event.data()));
             item().onProgress();
@@ -156,6 +161,13 @@
         }
     }
 
+    /** Ends the run if its target has completed no event for too long, whatever else it sends. */
+    void checkStall(Duration timeout, long now) {
+        if (now - lastEventAt >= timeout.toNanos()) {
+            fail("no event for " + timeout.toMillis() + " ms");
+        }
+    }
+
     private void fail(String reason) {
         cancel();
         runner.table().onCallFailed(target);
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -237,6 +237,8 @@
                 stop(run, "another worker has recorded the item");
             } else if (route(run.scheduledItem()).isEmpty()) {
                 stop(run, "its route no longer exists");
+            } else {
+                run.checkStall(TARGET_SILENCE_TIMEOUT, now);
             }
         }
         giveUpExpired(now);
