Mend small faults: forgotten jobs, silent gaps, double fetches, options checked too late

- a record read before the header of its job that leaves a gap is logged, not dropped without a word
- the targets of a peer are fetched once at a time
- options of the measuring tool that are no numbers are named with what was expected

--- a/bench/src/main/java/org/sardinelift/bench/command/Command.java
+++ b/bench/src/main/java/org/sardinelift/bench/command/Command.java
@@ -109,7 +109,13 @@
     }
 
     static int intOption(CommandLine line, String option, int defaultValue) {
-        return Integer.parseInt(line.getOptionValue(option, Integer.toString(defaultValue)));
+        String value = line.getOptionValue(option, Integer.toString(defaultValue));
+        try {
+            return Integer.parseInt(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(
+                    "--" + option + ": expected a whole number, found " + value, e);
+        }
     }
 
     static Duration secondsOption(CommandLine line, String option, int defaultValue) {
--- a/bench/src/main/java/org/sardinelift/bench/load/Endpoint.java
+++ b/bench/src/main/java/org/sardinelift/bench/load/Endpoint.java
@@ -16,7 +16,7 @@
      */
     public static Endpoint parse(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon < 1) {
+        if (colon < 1 || !text.substring(colon + 1).matches("\\d{1,5}")) {
             throw new IllegalArgumentException("expected HOST:PORT, found " + text);
         }
         return new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
--- a/bench/src/main/java/org/sardinelift/bench/load/TeamLoad.java
+++ b/bench/src/main/java/org/sardinelift/bench/load/TeamLoad.java
@@ -35,8 +35,17 @@
         return new TeamLoad(
                 parts[0],
                 parts[1],
-                Double.parseDouble(parts[2]),
-                Double.parseDouble(parts[3]),
-                Double.parseDouble(parts[4]));
+                parseNumber(parts[0], "RATE", parts[2]),
+                parseNumber(parts[0], "BURST", parts[3]),
+                parseNumber(parts[0], "OFFERED", parts[4]));
+    }
+
+    private static double parseNumber(String team, String field, String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(
+                    "--teams: " + field + " of " + team + ": expected a number, found " + text, e);
+        }
     }
 }
--- a/core/src/main/java/org/sardinelift/core/fleet/Membership.java
+++ b/core/src/main/java/org/sardinelift/core/fleet/Membership.java
@@ -104,22 +104,6 @@
         }
     }
 
-    /**
-     * Returns how long an instance has been missing from the list.
-     *
-     * @param instance its name
-     * @param nowMs the time
-     * @return milliseconds, 0 if the newest list contains it, {@link Long#MAX_VALUE} if it is not
-     *     known
-     */
-    public long missingMs(String instance, long nowMs) {
-        Member member = members.get(instance);
-        if (member == null) {
-            return Long.MAX_VALUE;
-        }
-        return member.lastList() == listCount ? 0 : nowMs - member.lastSeenMs();
-    }
-
     /**
      * Returns the members.
      *
--- a/core/src/main/java/org/sardinelift/core/peer/PeerTable.java
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerTable.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
@@ -287,17 +286,4 @@
     private static RelayRank relayRank(Peer peer) {
         return new RelayRank(peer.role(), peer.name());
     }
-
-    /**
-     * Returns the live peer with the newest configuration if that is newer than a version.
-     *
-     * @param version the version to exceed
-     * @param now the time
-     * @return the peer, or empty
-     */
-    public Optional<Peer> withNewerPlan(long version, long now) {
-        return peers.values().stream()
-                .filter(peer -> isLive(peer, now) && peer.planVersion() > version)
-                .max(Comparator.comparingLong(Peer::planVersion));
-    }
 }
--- a/core/src/test/java/org/sardinelift/core/peer/PeerTableTest.java
+++ b/core/src/test/java/org/sardinelift/core/peer/PeerTableTest.java
@@ -141,15 +141,6 @@
                         "zone-a", Peer::planReadAt, Duration.ofSeconds(5), 700 * MILLI));
     }
 
-    @Test
-    void theNewestConfigurationIsFound() {
-        peers.onReport(report("a", 1, 1, 0));
-
-        assertTrue(peers.withNewerPlan(2, 0).isPresent());
-        assertTrue(peers.withNewerPlan(3, 0).isEmpty());
-        assertTrue(peers.withNewerPlan(2, 600 * MILLI).isEmpty());
-    }
-
     private static Peer peerInZone(String name, PeerRole role, String zone, boolean leaving) {
         return new Peer(
                 name,
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PeerSnapshots.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PeerSnapshots.java
@@ -151,14 +151,13 @@
                 && peer.zone().equals(zone)
                 && peer.targetsRevision() > current.changedRevision()
                 && !isFetchingTargets) {
-            isFetchingTargets = true;
             fetchTargets(peer);
         }
     }
 
     private void checkTargets() {
         loop.schedule(this::checkTargets, LIST_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-        if (targetFeed.ageNanos() < STALE_LIST_AGE.toNanos()) {
+        if (isFetchingTargets || targetFeed.ageNanos() < STALE_LIST_AGE.toNanos()) {
             return;
         }
         long now = System.nanoTime();
@@ -177,6 +176,7 @@
     }
 
     private void fetchTargets(Peer peer) {
+        isFetchingTargets = true;
         fetch(peer, TARGETS_PATH)
                 .whenComplete(
                         (answer, error) -> {
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/StoreAvailability.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/StoreAvailability.java
@@ -10,7 +10,6 @@
 public final class StoreAvailability {
     private boolean isAvailable = true;
     private boolean isKnown;
-    private long lastAnswerAt;
     private long regainedAt;
 
     /**
@@ -69,9 +68,6 @@
         if (isAvailableNow && !isAvailable) {
             regainedAt = now;
         }
-        if (isAvailableNow) {
-            lastAnswerAt = now;
-        }
         isKnown = true;
         isAvailable = isAvailableNow;
     }
@@ -85,15 +81,6 @@
         return isAvailable && isKnown;
     }
 
-    /**
-     * Time since the store last answered.
-     *
-     * @return nanoseconds
-     */
-    public synchronized long nanosSinceAnswer() {
-        return System.nanoTime() - lastAnswerAt;
-    }
-
     /**
      * Time since the store answered again after failures.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -18,6 +18,7 @@
 import org.sardinelift.core.joblog.ItemSchedule;
 import org.sardinelift.core.joblog.JobAssignment;
 import org.sardinelift.core.joblog.JobProgress;
+import org.sardinelift.core.joblog.MissingRoutes;
 import org.sardinelift.core.joblog.PreemptionShare;
 import org.sardinelift.core.load.BatchSlotSelector;
 import org.sardinelift.core.load.TargetCalls;
@@ -89,7 +90,7 @@
     private final BatchSlotSelector slotSelector;
     private final Set<String> assignedJobIds = new HashSet<>();
     private final Map<Target, List<ItemRun>> running = new HashMap<>();
-    private final Map<String, Long> routeMissingSince = new HashMap<>();
+    private final MissingRoutes missingRoutes = MissingRoutes.create(MISSING_ROUTE_TIMEOUT);
     private boolean isReschedulePending;
     private boolean isLeaving;
 
@@ -177,6 +178,7 @@
         long now = System.nanoTime();
         observeSlots(now);
         assignJobs(now);
+        missingRoutes.retainJobs(assignedJobIds);
         stopInvalidRuns(now);
         preemptItems(now);
         startItems(now);
@@ -280,10 +282,9 @@
         Optional<RoutePlan> route = plan.route(job.spec().host(), item.item().path());
         String key = job.spec().id();
         if (route.isEmpty()) {
-            long since = routeMissingSince.computeIfAbsent(key, missing -> now);
-            return now - since >= MISSING_ROUTE_TIMEOUT.toNanos();
+            return missingRoutes.onMissing(key, now);
         }
-        routeMissingSince.remove(key);
+        missingRoutes.onFound(key);
         long retentionMs = route.get().retention().toMillis();
         return retentionMs > 0 && nowMs - job.spec().submittedMs() > retentionMs;
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
@@ -126,17 +126,34 @@
         documentParts.remove(spec.id());
         Map<Integer, String> waiting = waitingObjects.remove(spec.id());
         if (waiting != null) {
-            waiting.forEach((number, value) -> applyWaiting(job, number, value));
+            waiting.forEach((number, value) -> tryApplyWaiting(job, number, value));
         }
         changeListener.accept(job);
         return job;
     }
 
-    private void applyWaiting(JobProgress job, int number, String value) {
+    private static void tryApplyWaiting(JobProgress job, int number, String value) {
+        try {
+            applyWaiting(job, number, value);
+        } catch (IllegalArgumentException e) {
+            LogEvent.of("job.unreadable")
+                    .with("object", job.spec().id() + ", record " + number)
+                    .with("reason", e.getMessage())
+                    .error();
+        }
+    }
+
+    private static void applyWaiting(JobProgress job, int number, String value) {
         if (number == END_NUMBER) {
             job.end();
         } else {
-            job.applyRecord(number, JobCodec.decodeRecord(value));
+            requireNoGap(job, job.applyRecord(number, JobCodec.decodeRecord(value)));
+        }
+    }
+
+    private static void requireNoGap(JobProgress job, JobProgress.ApplyResult result) {
+        if (result == JobProgress.ApplyResult.GAP) {
+            throw new IllegalArgumentException("record " + job.nextRecord() + " is missing");
         }
     }
 
@@ -153,9 +170,7 @@
         }
         JobProgress.ApplyResult result =
                 job.applyRecord(recordObject.number(), JobCodec.decodeRecord(value));
-        if (result == JobProgress.ApplyResult.GAP) {
-            throw new IllegalArgumentException("record " + job.nextRecord() + " is missing");
-        }
+        requireNoGap(job, result);
         changeListener.accept(job);
     }
 
--- a/http/src/main/java/org/sardinelift/http/HttpServer.java
+++ b/http/src/main/java/org/sardinelift/http/HttpServer.java
@@ -89,11 +89,13 @@
             HttpHandler handler,
             ChannelGroup connections,
             ServerState state) {
+        RefusedConnectionLog refusals = new RefusedConnectionLog();
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 HttpLimits currentLimits = limits.get();
                 if (connections.size() >= currentLimits.maxConnections()) {
+                    refusals.log(currentLimits.maxConnections(), channel.remoteAddress());
                     channel.close();
                     return;
                 }
--- a/http/src/main/java/org/sardinelift/http/ServerConnection.java
+++ b/http/src/main/java/org/sardinelift/http/ServerConnection.java
@@ -196,10 +196,14 @@
     private void refuseHead(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof TooLongHttpHeaderException) {
             String remedy = "Send fewer or shorter headers.";
-            refuse(context, 431, "headers_too_large", "the headers are too long", remedy);
+            String detail =
+                    "the headers are longer than " + limits.get().maxHeaderBytes() + " bytes";
+            refuse(context, 431, "headers_too_large", detail, remedy);
         } else if (cause instanceof TooLongHttpLineException) {
             String remedy = "Send a shorter request line.";
-            refuse(context, 414, "uri_too_long", "the request line is too long", remedy);
+            String detail =
+                    "the request line is longer than " + limits.get().maxLineBytes() + " bytes";
+            refuse(context, 414, "uri_too_long", detail, remedy);
         } else {
             refuseMalformed(context, "the request line or the headers are malformed");
         }
--- a/http/src/test/java/org/sardinelift/http/HttpServerTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpServerTest.java
@@ -283,6 +283,7 @@
             }
             String response = new String(socket.getInputStream().readAllBytes());
             assertTrue(response.startsWith("HTTP/1.1 431"), response);
+            assertTrue(response.contains("longer than 512 bytes"), response);
         }
     }
 
--- a/sardinectl/src/main/java/org/sardinelift/ctl/CommandRunner.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/CommandRunner.java
@@ -104,7 +104,8 @@
                 out.println(help(command, options));
                 return ExitCode.OK;
             }
-            return print(line, execute(command, line));
+            boolean isJson = isJsonOutput(line);
+            return print(isJson, execute(command, line));
         } catch (ParseException e) {
             err.println(e.getMessage() + "\n" + help(command, options));
             return ExitCode.USAGE;
@@ -124,13 +125,18 @@
         }
     }
 
-    private ExitCode print(CommandLine line, Outcome outcome) throws ParseException {
+    /** Checked before the command runs: a key that was issued and not printed would be lost. */
+    private static boolean isJsonOutput(CommandLine line) throws ParseException {
         String format = line.getOptionValue("output", "text");
         if (!format.equals("text") && !format.equals("json")) {
             throw new ParseException("--output: expected json or text, found " + format);
         }
+        return format.equals("json");
+    }
+
+    private ExitCode print(boolean isJson, Outcome outcome) {
         boolean failed = outcome.code() != ExitCode.OK;
-        if (format.equals("json")) {
+        if (isJson) {
             out.println(outcome.json());
         } else {
             (failed ? err : out).println(outcome.text());
--- a/sardinectl/src/test/java/org/sardinelift/ctl/SardinectlTest.java
+++ b/sardinectl/src/test/java/org/sardinelift/ctl/SardinectlTest.java
@@ -75,6 +75,18 @@
         assertEquals(List.of("1", "1"), objects.findValuesAsText("version"));
     }
 
+    /**
+     * Guards against a command that runs although its result can't be printed, such as a new key.
+     */
+    @Test
+    void aCommandWithAnUnknownOutputFormatDoesNotRun() {
+        Result bad = run(FILE.formatted(20), "apply", "-f", "-", "--output", "xml");
+
+        assertEquals(ExitCode.USAGE, bad.code());
+        assertTrue(bad.out().contains("expected json or text, found xml"), bad.out());
+        assertEquals(0, run("", "get").json().path("objects").size());
+    }
+
     @Test
     void writesNothingIfACheckFails() {
         Result bad = run(FILE.formatted(-1), "apply", "-f", "-");
