Bound the tokens of a team that wait in batch jobs on a route

A route may bound them over all instances; a job that doesn't fit is answered 429 with a Retry-After and never runs. Every worker counts the jobs that it knows, from the store's watch and from copies on disks; one worker a team and route, by rendezvous of the names, may fill what is left, the others accept their part of a tolerated excess of 8% (the rule tolerates 10%), as does every worker whose knowledge is older than the second in which jobs become known. What exceeds only such a part is a 503, so that the gateway asks the next worker. A repeat of an accepted job is 202 also when the bound is full; ends and results free tokens. Weighed: an owner of each count (a call more for each job, and a hand-over of counts), shares that move (what the entries do; needs the store for each move). This one needs no message of its own; its cost is a pass over the known jobs for each submission, linear in jobs of the last 3 minutes.

--- a/bench/src/main/java/org/sardinelift/bench/model/ModelWorker.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/ModelWorker.java
@@ -70,7 +70,7 @@
         String id = name + "-j" + submitted++;
         List<JobItem> items =
                 IntStream.range(0, itemSizes.size())
-                        .mapToObj(i -> new JobItem(id + "-" + i, "/", Map.of(), new byte[0]))
+                        .mapToObj(i -> new JobItem(id + "-" + i, "/", Map.of(), new byte[0], 0))
                         .toList();
         IntStream.range(0, itemSizes.size())
                 .forEach(i -> sizes.put(items.get(i).id(), itemSizes.get(i)));
--- a/core/src/main/java/org/sardinelift/core/joblog/JobItem.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/JobItem.java
@@ -9,5 +9,7 @@
  * @param path request path at the target
  * @param headers request headers
  * @param body request body
+ * @param tokens tokens of the prompt and most tokens of the output, summed
  */
-public record JobItem(String id, String path, Map<String, String> headers, byte[] body) {}
+public record JobItem(
+        String id, String path, Map<String, String> headers, byte[] body, long tokens) {}
--- a/core/src/main/java/org/sardinelift/core/joblog/JobProgress.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/JobProgress.java
@@ -186,6 +186,15 @@
                         .filter(item -> !unrecordedResults.containsKey(item.item().id()));
     }
 
+    /**
+     * Sums the tokens of the items that have no result, as far as this worker knows.
+     *
+     * @return number of tokens, 0 once the job was ended
+     */
+    public long waitingTokens() {
+        return openItems().mapToLong(item -> item.item().tokens()).sum();
+    }
+
     /**
      * Finds an item that has no position yet.
      *
--- a/core/src/main/java/org/sardinelift/core/joblog/JobSpec.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/JobSpec.java
@@ -13,4 +13,14 @@
  * @param items items of the job
  */
 public record JobSpec(
-        String id, String team, String route, String host, long submittedMs, List<JobItem> items) {}
+        String id, String team, String route, String host, long submittedMs, List<JobItem> items) {
+
+    /**
+     * Sums the tokens of all items.
+     *
+     * @return number of tokens
+     */
+    public long tokens() {
+        return items.stream().mapToLong(JobItem::tokens).sum();
+    }
+}
--- a/core/src/main/java/org/sardinelift/core/plan/RoutePlan.java
+++ b/core/src/main/java/org/sardinelift/core/plan/RoutePlan.java
@@ -22,6 +22,8 @@
  * @param priority rank, 0 is the most urgent
  * @param completionObjective time in which a batch job should complete
  * @param retention time after which an item of a batch job may be given up
+ * @param maxWaitingTokens maximum tokens of one team's batch items that wait, over all instances; 0
+ *     for no limit
  */
 public record RoutePlan(
         String name,
@@ -37,7 +39,8 @@
         int maxAttempts,
         int priority,
         Duration completionObjective,
-        Duration retention) {
+        Duration retention,
+        long maxWaitingTokens) {
 
     /**
      * A service that runs a fraction of a route's calls.
--- a/core/src/test/java/org/sardinelift/core/joblog/ItemScheduleTest.java
+++ b/core/src/test/java/org/sardinelift/core/joblog/ItemScheduleTest.java
@@ -16,7 +16,7 @@
             ItemSchedule.of(200, Duration.ofMillis(25), Duration.ZERO);
 
     private static ItemSchedule.ScheduledItem scheduled(String id, long dueMs, int events) {
-        JobItem item = new JobItem(id, "/p", Map.of(), new byte[0]);
+        JobItem item = new JobItem(id, "/p", Map.of(), new byte[0], 0);
         JobProgress job =
                 JobProgress.of(new JobSpec("j", "team", "route", "host", 0, List.of(item)));
         ItemProgress progress = job.openItem(id).orElseThrow();
--- a/core/src/test/java/org/sardinelift/core/joblog/JobProgressTest.java
+++ b/core/src/test/java/org/sardinelift/core/joblog/JobProgressTest.java
@@ -19,7 +19,7 @@
                         "host",
                         0,
                         IntStream.range(0, items)
-                                .mapToObj(i -> new JobItem("i" + i, "/p", Map.of(), new byte[0]))
+                                .mapToObj(i -> new JobItem("i" + i, "/p", Map.of(), new byte[0], 0))
                                 .toList()));
     }
 
--- a/core/src/test/java/org/sardinelift/core/joblog/JobRecordsPropertyTest.java
+++ b/core/src/test/java/org/sardinelift/core/joblog/JobRecordsPropertyTest.java
@@ -40,7 +40,7 @@
                         "host",
                         0,
                         IntStream.range(0, ITEMS)
-                                .mapToObj(i -> new JobItem("i" + i, "/p", Map.of(), new byte[0]))
+                                .mapToObj(i -> new JobItem("i" + i, "/p", Map.of(), new byte[0], 0))
                                 .toList()));
     }
 
--- a/core/src/test/java/org/sardinelift/core/plan/ServingPlanTest.java
+++ b/core/src/test/java/org/sardinelift/core/plan/ServingPlanTest.java
@@ -28,7 +28,8 @@
                 2,
                 0,
                 Duration.ZERO,
-                Duration.ZERO);
+                Duration.ZERO,
+                0);
     }
 
     private final ServingPlan plan =
--- a/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Iterator;
-import java.util.List;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +30,7 @@
 
     private static final Duration READ_TIMEOUT = Duration.ofMillis(700);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final String RETRY_AFTER_HEADER = "Retry-After";
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int OUTCOME_UNKNOWN = 504;
@@ -47,7 +48,7 @@
 
     void submit(HttpExchange exchange, String job, String team, RoutePlan route) {
         String host = exchange.header("host") == null ? "" : exchange.header("host");
-        String uri = JobPaths.submitUri(job, team, route.name(), host);
+        String uri = JobPaths.submitUri(job, team, route, host);
         new ProxiedCall(exchange, job, "POST", uri, exchange.body(), SUBMIT_TIMEOUT)
                 .tryNextWorker();
     }
@@ -137,10 +138,7 @@
                 if (!method.equals("GET") || answer.status() != OK) {
                     log(worker, answer.status(), null);
                 }
-                exchange.respond(
-                        answer.status(),
-                        List.of(Map.entry("Content-Type", contentType(answer))),
-                        answer.body());
+                exchange.respond(answer.status(), headers(answer), answer.body());
             }
         }
 
@@ -155,9 +153,15 @@
         }
     }
 
-    private static String contentType(BufferedHttpResponse answer) {
+    private static Map<String, String> headers(BufferedHttpResponse answer) {
+        Map<String, String> headers = new LinkedHashMap<>();
         String type = answer.header("content-type");
-        return type == null ? "application/json" : type;
+        headers.put("Content-Type", type == null ? "application/json" : type);
+        String retryAfter = answer.header(RETRY_AFTER_HEADER);
+        if (retryAfter != null) {
+            headers.put(RETRY_AFTER_HEADER, retryAfter);
+        }
+        return headers;
     }
 
     private static boolean mayHaveBeenReceived(@Nullable Throwable error) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobPaths.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobPaths.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.util.Map;
+import org.sardinelift.core.plan.RoutePlan;
 
 /** Paths and queries of the internal calls about batch jobs, from gateways to workers. */
 public final class JobPaths {
@@ -13,6 +14,7 @@
     static final String TEAM = "team";
     static final String ROUTE = "route";
     static final String HOST = "host";
+    static final String MAX_WAITING_TOKENS = "maxWaitingTokens";
     static final String AFTER = "after";
     static final String WAIT_MS = "waitMs";
 
@@ -23,12 +25,22 @@
      *
      * @param job name of the job
      * @param team team that it runs for
-     * @param route name of its route
+     * @param route its route
      * @param host host header of the caller's request
      * @return path and query
      */
-    public static String submitUri(String job, String team, String route, String host) {
-        return uri(PREFIX + job, Map.of(TEAM, team, ROUTE, route, HOST, host));
+    public static String submitUri(String job, String team, RoutePlan route, String host) {
+        return uri(
+                PREFIX + job,
+                Map.of(
+                        TEAM,
+                        team,
+                        ROUTE,
+                        route.name(),
+                        HOST,
+                        host,
+                        MAX_WAITING_TOKENS,
+                        Long.toString(route.maxWaitingTokens())));
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -8,15 +8,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.joblog.CopyCount;
 import org.sardinelift.core.joblog.ItemResult;
 import org.sardinelift.core.joblog.JobItem;
 import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.core.joblog.JobSpec;
+import org.sardinelift.core.joblog.WaitingTokenLimit;
+import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.gateway.peer.PeerNetwork;
@@ -39,14 +43,25 @@
     /** Older state may lack a result that a caller has already read from another worker. */
     private static final Duration MAX_STALENESS = Duration.ofMillis(700);
 
+    /** A worker hears of a job that another one has accepted within two watches of the store. */
+    private static final Duration JOB_PROPAGATION_TIME = Duration.ofSeconds(1);
+
+    /** Time in which some waiting items finish. */
+    private static final Duration OVER_LIMIT_RETRY_AFTER = Duration.ofSeconds(1);
+
     private static final int MAX_PAGE_CHARS = 700_000;
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
     private static final int OUTCOME_UNKNOWN = 504;
     private static final int MAX_ITEMS = 200;
+    private static final String OVER_LIMIT_DETAIL =
+            "{\"kind\":\"over_waiting_tokens\",\"outcome\":\"not_run\",\"detail\":\"the team's"
+                    + " batch items that wait on this route have too many tokens; send the job"
+                    + " again when some have finished\"}";
 
     private final JobApi jobApi;
     private final JobRegistry jobs;
@@ -57,6 +72,7 @@
     private final PeerNetwork network;
     private final EventLoop loop;
     private final Consumer<JobProgress> acceptedListener;
+    private final WaitingTokenLimit waitingTokens;
     private final long startedAt = System.nanoTime();
     private final Map<String, List<Waiter>> waiters = new HashMap<>();
 
@@ -64,6 +80,7 @@
     private record Waiter(HttpExchange exchange, int firstPosition, long deadline) {}
 
     JobService(
+            String instance,
             JobApi jobApi,
             JobRegistry jobs,
             JobFeed feed,
@@ -73,6 +90,7 @@
             PeerNetwork network,
             EventLoop loop,
             Consumer<JobProgress> acceptedListener) {
+        this.waitingTokens = WaitingTokenLimit.create(instance, JOB_PROPAGATION_TIME);
         this.jobApi = jobApi;
         this.jobs = jobs;
         this.feed = feed;
@@ -135,7 +153,77 @@
                         queryParameter(exchange, JobPaths.HOST),
                         System.currentTimeMillis(),
                         items);
-        new Submission(exchange, spec, new String(exchange.body(), StandardCharsets.UTF_8)).start();
+        WaitingTokenLimit.Decision decision =
+                reserveTokens(spec, numericParameter(exchange, JobPaths.MAX_WAITING_TOKENS));
+        if (decision == WaitingTokenLimit.Decision.FITS) {
+            String document = new String(exchange.body(), StandardCharsets.UTF_8);
+            new Submission(exchange, spec, document).start();
+        } else if (decision == WaitingTokenLimit.Decision.EXCEEDS) {
+            refuseUnlessAccepted(exchange, spec);
+        } else {
+            respond(exchange, UNAVAILABLE, "this worker can't tell whether the job fits");
+        }
+    }
+
+    private WaitingTokenLimit.Decision reserveTokens(JobSpec spec, long maxTokens) {
+        if (maxTokens <= 0) {
+            return WaitingTokenLimit.Decision.FITS;
+        }
+        long waiting =
+                jobs.all().stream()
+                        .filter(job -> job.spec().team().equals(spec.team()))
+                        .filter(job -> job.spec().route().equals(spec.route()))
+                        .mapToLong(JobProgress::waitingTokens)
+                        .sum();
+        Set<String> otherWorkers =
+                network.peers().all().stream()
+                        .filter(peer -> peer.role() == PeerRole.WORKER)
+                        .map(Peer::name)
+                        .collect(Collectors.toSet());
+        boolean hasJustStarted = System.nanoTime() - startedAt < PEER_DISCOVERY_TIME.toNanos();
+        WaitingTokenLimit.Knowledge knowledge =
+                new WaitingTokenLimit.Knowledge(
+                        waiting, hasJustStarted ? Long.MAX_VALUE : feed.staleNanos(), otherWorkers);
+        WaitingTokenLimit.Decision decision =
+                waitingTokens.tryReserve(spec, maxTokens, knowledge, System.nanoTime());
+        if (decision != WaitingTokenLimit.Decision.FITS) {
+            LogEvent.of("job.over_limit")
+                    .with("job", spec.id())
+                    .with("team", spec.team())
+                    .with("route", spec.route())
+                    .with("decision", decision.name())
+                    .with("tokens", spec.tokens())
+                    .with("waiting_tokens", waiting)
+                    .with("max_tokens", maxTokens)
+                    .with("known_ms_ago", TimeUnit.NANOSECONDS.toMillis(knowledge.ageNanos()))
+                    .with("other_workers", otherWorkers.size())
+                    .info();
+        }
+        return decision;
+    }
+
+    /** The repeat of a job that another worker has accepted is accepted again. */
+    private void refuseUnlessAccepted(HttpExchange exchange, JobSpec spec) {
+        loadJob(spec.id())
+                .thenAccept(
+                        found -> {
+                            if (found.isEmpty()) {
+                                respond(exchange, UNAVAILABLE, "the store doesn't answer");
+                            } else if (found.get()) {
+                                respond(exchange, ACCEPTED, "already accepted");
+                            } else if (mayBeKnownElsewhere(spec.id())) {
+                                respond(exchange, UNAVAILABLE, "another worker may know the job");
+                            } else {
+                                exchange.respond(
+                                        TOO_MANY_REQUESTS,
+                                        Map.of(
+                                                "content-type",
+                                                "application/json",
+                                                "retry-after",
+                                                Long.toString(OVER_LIMIT_RETRY_AFTER.toSeconds())),
+                                        OVER_LIMIT_DETAIL.getBytes(StandardCharsets.UTF_8));
+                            }
+                        });
     }
 
     /** One submission, in progress until the store or enough disks hold the job. */
@@ -203,6 +291,7 @@
 
         private void accept() {
             JobProgress job = jobs.add(spec);
+            waitingTokens.onAccepted(spec);
             acceptedListener.accept(job);
             respondOnce(ACCEPTED, "accepted");
         }
@@ -214,6 +303,7 @@
             boolean mayBeStored =
                     storeResult == JobStorage.CreateResult.UNCLEAR
                             || spoolOutcome == CopyCount.Outcome.UNCLEAR;
+            waitingTokens.onRefused(spec, mayBeStored);
             if (mayBeStored) {
                 respondOnce(OUTCOME_UNKNOWN, "the job may have been stored");
             } else {
@@ -358,7 +448,8 @@
     }
 
     private void respondWithResults(HttpExchange exchange, JobProgress job) {
-        int firstPosition = (int) numericParameter(exchange, JobPaths.AFTER);
+        int firstPosition =
+                (int) Math.min(Integer.MAX_VALUE, numericParameter(exchange, JobPaths.AFTER));
         long waitMs = numericParameter(exchange, JobPaths.WAIT_MS);
         if (job.filledPositions() > firstPosition) {
             respondWithPage(exchange, job, firstPosition);
@@ -441,7 +532,7 @@
 
     private static long numericParameter(HttpExchange exchange, String name) {
         String text = queryParameter(exchange, name);
-        return text.matches("\\d{1,9}") ? Long.parseLong(text) : 0;
+        return text.matches("\\d{1,18}") ? Long.parseLong(text) : 0;
     }
 
     private static void respond(HttpExchange exchange, int status, String detail) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
@@ -72,6 +72,7 @@
                         adapter.headerNames());
         service =
                 new JobService(
+                        node.instance(),
                         jobApi,
                         jobs,
                         feed,
