--- a/core/src/main/java/org/sardinelift/core/joblog/WaitingTokenLimit.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/WaitingTokenLimit.java
@@ -12,16 +12,17 @@
 /**
  * Bounds the tokens of a team that wait in batch jobs on a route, over all workers.
  *
- * <p>Every worker counts all jobs that it knows, and hears of a job that another one has accepted
- * within the propagation time. For each team and route one worker, which follows from the names of
- * all, may accept what is left of the bound. Each of the others may accept its part of a tolerated
- * excess within the propagation time, and so may every worker whose knowledge is older than that.
- * All together thus stay within the bound and the excess, however many jobs arrive at all workers
- * at once. What exceeds a part only is uncertain: another worker may accept it. Times are
- * nanoseconds of a monotonic clock. Not thread-safe.
+ * <p>Each worker counts the jobs that it knows. It learns of a job that another worker has accepted
+ * within the propagation time, so several workers could fill the same remainder at once. Therefore
+ * only one worker for each team and route, the first by rendezvous hash of the names, accepts jobs
+ * up to the bound. Each other worker accepts, within the propagation time, at most an equal share
+ * of an excess that is tolerated over the bound; so does a worker whose knowledge is older than
+ * that. The sum never exceeds the bound plus the excess.
+ *
+ * <p>Times are nanoseconds of a monotonic clock. Not thread-safe.
  */
 public final class WaitingTokenLimit {
-    /** Tolerated excess over the bound, a part of it; the platform tolerates a tenth. */
+    /** Fraction of the bound that may be exceeded; the platform tolerates 0.1. */
     private static final double TOLERATED_EXCESS = 0.08;
 
     /** Longer than any job waits; older knowledge counts as that old. */
@@ -53,7 +54,7 @@
         FITS,
         /** More tokens wait than the bound allows. */
         EXCEEDS,
-        /** This worker can't tell. */
+        /** It exceeds what this worker may accept; another worker may accept it. */
         UNCERTAIN
     }
 
@@ -96,17 +97,17 @@
         Key key = new Key(job.team(), job.route());
         long tokens = job.tokens();
         Deque<Reservation> own = reservations.computeIfAbsent(key, k -> new ArrayDeque<>());
-        forgetHeardOf(own, knowledge.ageNanos(), now);
-        long unheard = sum(own, reservation -> true);
+        forgetPropagated(own, knowledge.ageNanos(), now);
+        long unpropagated = sum(own, reservation -> true);
         long waiting = knowledge.waitingTokens() + sum(own, reservation -> !reservation.isKnown);
         boolean isOld = knowledge.ageNanos() > propagationNanos;
         if (waiting + tokens > maxTokens) {
             return isOld ? Decision.UNCERTAIN : Decision.EXCEEDS;
         }
-        double part = TOLERATED_EXCESS * maxTokens / (knowledge.otherWorkers().size() + 1);
-        long heardOf = Math.max(0, waiting - unheard);
+        double ownShare = TOLERATED_EXCESS * maxTokens / (knowledge.otherWorkers().size() + 1);
+        long propagated = Math.max(0, waiting - unpropagated);
         boolean mayFill = !isOld && isFirst(key, knowledge.otherWorkers());
-        if (unheard + tokens > part + (mayFill ? maxTokens - heardOf : 0)) {
+        if (unpropagated + tokens > ownShare + (mayFill ? maxTokens - propagated : 0)) {
             return Decision.UNCERTAIN;
         }
         own.add(new Reservation(job.id(), tokens, now));
@@ -114,10 +115,11 @@
     }
 
     /**
-     * Forgets the jobs of which the other workers have heard: those accepted before the propagation
-     * time, which is counted back from when this worker last was up to date.
+     * Forgets the jobs that the other workers know by now. While this worker is cut off it may be
+     * the only one that knows its jobs, so the age of its knowledge is added to the propagation
+     * time.
      */
-    private void forgetHeardOf(Deque<Reservation> own, long ageNanos, long now) {
+    private void forgetPropagated(Deque<Reservation> own, long ageNanos, long now) {
         long window = propagationNanos + Math.min(ageNanos, MAX_AGE.toNanos());
         own.removeIf(reservation -> reservation.isKnown && now - reservation.reservedAt > window);
     }
@@ -126,7 +128,7 @@
         return own.stream().filter(isCounted).mapToLong(reservation -> reservation.tokens).sum();
     }
 
-    /** Whether this worker is the one that may accept what is left of a bound. */
+    /** Whether this worker is the one that may accept jobs up to the bound. */
     private boolean isFirst(Key key, Set<String> otherWorkers) {
         String name = key.team() + "/" + key.route();
         long ownWeight = Rendezvous.weight(name, self);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -81,7 +81,7 @@
      * @param expectedCallId id of the call that was sent
      * @return the reason, or empty if the response belongs to the call
      */
-    public Optional<String> findForeign(String expectedCallId) {
+    public Optional<String> findMismatch(String expectedCallId) {
         if (isMisdirected() || callId.isPresent() && callId.get().equals(expectedCallId)) {
             return Optional.empty();
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -85,9 +85,9 @@
         head = ResponseHead.read(status, headers, forwardedCall.context().headers().names());
         recordProgress();
         forwardedCall.context().targets().onResponseHead(target, head);
-        Optional<String> foreign = head.findForeign(forwardedCall.call().id());
-        if (foreign.isPresent()) {
-            fail(foreign.get());
+        Optional<String> mismatch = head.findMismatch(forwardedCall.call().id());
+        if (mismatch.isPresent()) {
+            fail(mismatch.get());
             return;
         }
         recordLoad();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -87,9 +87,9 @@
         long now = System.nanoTime();
         target.onBytesReceived(now);
         runner.table().onResponseHead(target, head);
-        Optional<String> foreign = head.findForeign(item().item().id());
-        if (foreign.isPresent()) {
-            fail(foreign.get());
+        Optional<String> mismatch = head.findMismatch(item().item().id());
+        if (mismatch.isPresent()) {
+            fail(mismatch.get());
             return;
         }
         head.statedCalls()
