--- a/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
@@ -12,6 +12,8 @@
  * @param notRun present in a target's response if the call was not run
  * @param signature a target's signature of its response
  * @param leaving names under which a target's response states that the target is about to stop
+ * @param rateLimit names under which a target's response states how many requests per second the
+ *     target takes from all instances together
  * @param load running calls, waiting calls and slots of a target, separated by commas
  * @param lastEventId number of the event after which a stream resumes
  * @param promptParts parts of a request's prompt, in the platform's own notation
@@ -25,6 +27,7 @@
         String notRun,
         String signature,
         Set<String> leaving,
+        Set<String> rateLimit,
         String load,
         String lastEventId,
         String promptParts,
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Comparator;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.gateway.call.TargetTable;
@@ -56,6 +58,8 @@
                                     .put("zone", target.registration().zone())
                                     .put("leaving", target.registration().isLeaving())
                                     .put("usable", target.health().isUsable(now))
+                                    .put("rateLimit", rateLimit(target))
+                                    .put("requests", target.requests())
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
                                     .put("batch", calls.batch())
@@ -69,6 +73,11 @@
         return root.toString();
     }
 
+    private static @Nullable Double rateLimit(TargetTable.Target target) {
+        OptionalDouble limit = target.rateLimit();
+        return limit.isPresent() ? limit.getAsDouble() : null;
+    }
+
     private static long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -190,6 +190,7 @@
         Target target = context.targets().find(load.id()).orElseThrow();
         sends++;
         triedTargets.add(target.id());
+        target.onRequestSent();
         context.network().targetLoads().onOwnCallsChanged(target.id(), ONE_CALL);
         context.network().onLocalChange();
         TargetAttempt next = new TargetAttempt(this, target, load, now);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.gateway.HeaderNames;
 
@@ -16,6 +18,8 @@
  * @param isSigned whether it has the target's signature
  * @param isNotRun whether the target states that it didn't run the call
  * @param isLeaving whether the target states that it is about to stop
+ * @param statedRateLimit requests per second that the target takes from all instances together,
+ *     empty if it doesn't limit them
  * @param endsWithConnection whether the body has neither a length nor chunks
  * @param statedCalls calls running and waiting at the target, empty if it didn't state them
  */
@@ -26,6 +30,7 @@
         boolean isSigned,
         boolean isNotRun,
         boolean isLeaving,
+        OptionalDouble statedRateLimit,
         boolean endsWithConnection,
         OptionalInt statedCalls) {
     private static final int MISDIRECTED = 421;
@@ -42,6 +47,7 @@
                     false,
                     false,
                     false,
+                    OptionalDouble.empty(),
                     false,
                     OptionalInt.empty());
 
@@ -61,7 +67,8 @@
                 Optional.ofNullable(value(headers, names.callId())),
                 value(headers, names.signature()) != null,
                 value(headers, names.notRun()) != null,
-                names.leaving().stream().anyMatch(name -> TRUE.equals(value(headers, name))),
+                TRUE.equals(value(headers, names.leaving())),
+                RateHeader.parse(value(headers, names.rateLimit())),
                 value(headers, "content-length") == null
                         && value(headers, "transfer-encoding") == null,
                 LoadHeader.parse(value(headers, names.load())));
@@ -115,8 +122,13 @@
     }
 
     private static @Nullable String value(List<Map.Entry<String, String>> headers, String name) {
+        return value(headers, Set.of(name));
+    }
+
+    private static @Nullable String value(
+            List<Map.Entry<String, String>> headers, Set<String> names) {
         return headers.stream()
-                .filter(header -> header.getKey().equalsIgnoreCase(name))
+                .filter(header -> names.stream().anyMatch(header.getKey()::equalsIgnoreCase))
                 .map(Map.Entry::getValue)
                 .findFirst()
                 .orElse(null);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -105,6 +105,7 @@
             fail(mismatch.get());
             return;
         }
+        forwardedCall.context().targets().onRateLimit(target, head.statedRateLimit());
         recordLoad();
         if (head.isSuccess() && !head.isSigned()) {
             fail("the response has no signature header");
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -70,6 +71,8 @@
         private final Map<RequestTraits, Long> brokenAt = new HashMap<>();
         private boolean isMisdirected;
         private boolean isProbePending;
+        private OptionalDouble rateLimit = OptionalDouble.empty();
+        private long requests;
         private long lastBytesAt;
 
         private Target(RegisteredTarget entry, TargetHealth health) {
@@ -113,6 +116,29 @@
             lastBytesAt = now;
         }
 
+        /** A request was sent to the target. */
+        public void onRequestSent() {
+            requests++;
+        }
+
+        /**
+         * Requests that this instance has sent to the target.
+         *
+         * @return their number
+         */
+        public long requests() {
+            return requests;
+        }
+
+        /**
+         * Limit on the rate of requests that the target stated last.
+         *
+         * @return requests per second, empty if it states none
+         */
+        public OptionalDouble rateLimit() {
+            return rateLimit;
+        }
+
         /**
          * When bytes were last received from the target.
          *
@@ -294,6 +320,29 @@
         LogEvent.of("target.leaving").with("target", target.id()).with("source", "response").info();
     }
 
+    /**
+     * A response to a call arrived, with or without a limit on the rate of requests.
+     *
+     * @param target the target that sent it
+     * @param limit requests per second that it takes from all instances, empty if it states none
+     */
+    public void onRateLimit(Target target, OptionalDouble limit) {
+        if (limit.equals(target.rateLimit)) {
+            return;
+        }
+        LogEvent.of("target.rate_limit")
+                .with("target", target.id())
+                .with("per_second", text(limit))
+                .with("before", text(target.rateLimit))
+                .with("requests", target.requests)
+                .info();
+        target.rateLimit = limit;
+    }
+
+    private static @Nullable String text(OptionalDouble limit) {
+        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : null;
+    }
+
     /**
      * A target rejected a call for another one: the address has been reassigned.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -93,6 +93,7 @@
             fail(mismatch.get());
             return;
         }
+        runner.table().onRateLimit(target, head.statedRateLimit());
         head.statedCalls()
                 .ifPresent(
                         calls ->
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -393,6 +393,7 @@
         network.targetLoads().onOwnCallsChanged(run.target().id(), ITEM_STARTED);
         network.onLocalChange();
         WorkerMetrics.setRunningItems(runs().size());
+        run.target().onRequestSent();
         run.start(client, httpCall(run), now);
     }
 
