--- a/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
@@ -176,7 +176,13 @@
 
     private static TargetLoad load(ModelTarget target, TargetCalls calls) {
         return new TargetLoad(
-                target.id(), target.zone(), target.slots(), calls, CALL_NANOS, FIRST_EVENT_NANOS);
+                target.id(),
+                target.zone(),
+                target.slots(),
+                calls,
+                CALL_NANOS,
+                FIRST_EVENT_NANOS,
+                0);
     }
 
     /** Reports an instance's calls to all other instances, each after the delay of a report. */
--- a/core/src/main/java/org/sardinelift/core/load/BatchSlotSelector.java
+++ b/core/src/main/java/org/sardinelift/core/load/BatchSlotSelector.java
@@ -59,7 +59,7 @@
     public void observe(List<TargetLoad> loads, long now) {
         Set<String> free =
                 loads.stream()
-                        .filter(load -> load.freeSlots() > 0)
+                        .filter(TargetLoad::isFree)
                         .map(TargetLoad::id)
                         .collect(Collectors.toCollection(HashSet::new));
         freeSince.keySet().retainAll(free);
@@ -77,7 +77,7 @@
      */
     public Optional<TargetLoad> select(List<TargetLoad> loads, long now) {
         return loads.stream()
-                .filter(load -> load.freeSlots() > 0 && hasSettled(load, now))
+                .filter(load -> load.isFree() && hasSettled(load, now))
                 .filter(load -> !startedAt.containsKey(load.id()))
                 .max(
                         Comparator.comparing((TargetLoad load) -> isInZone(load))
@@ -110,6 +110,6 @@
      * @return true if one of them has a free slot
      */
     public boolean hasFreeSlot(List<TargetLoad> loads) {
-        return loads.stream().anyMatch(load -> load.freeSlots() > 0);
+        return loads.stream().anyMatch(TargetLoad::isFree);
     }
 }
--- a/core/src/main/java/org/sardinelift/core/load/Placement.java
+++ b/core/src/main/java/org/sardinelift/core/load/Placement.java
@@ -11,7 +11,8 @@
  *
  * <p>Steps of traffic fill every slot for seconds. A call is sent where its first event is expected
  * within its objective: to a free slot, else to a slot from which a batch item is preempted, else
- * to the shortest queue (join the shortest queue, by expected wait). If no target can meet the
+ * to the shortest queue (join the shortest queue, by expected wait). A target whose rate limit
+ * allows no request now has a queue, however many of its slots are free. If no target can meet the
  * objective, the call is refused, since it would also take the slot of a call that can be in time.
  * A caller that returns after a refusal may wait longer than others, so that no call is refused
  * twice while there is any capacity.
@@ -69,15 +70,9 @@
         long budget = left.minus(margin).toNanos();
         List<TargetLoad> inTime =
                 matching(targets, target -> target.expectedFirstEventNanos() <= budget);
-        return leastUtilized(
-                        matching(inTime, target -> target.freeSlots() > 0 && isInZone(target)),
-                        draw)
-                .or(() -> leastUtilized(matching(inTime, target -> target.freeSlots() > 0), draw))
-                .or(
-                        () ->
-                                leastUtilized(
-                                        matching(inTime, target -> target.freeSlotsForOnline() > 0),
-                                        draw))
+        return leastUtilized(matching(inTime, target -> target.isFree() && isInZone(target)), draw)
+                .or(() -> leastUtilized(matching(inTime, TargetLoad::isFree), draw))
+                .or(() -> leastUtilized(matching(inTime, TargetLoad::isFreeForOnline), draw))
                 .or(() -> earliestFirstEvent(inTime, draw))
                 .<Choice>map(Choice.Placed::new)
                 .orElseGet(() -> new Choice.Refused(timeUntilCapacity(targets, budget), false));
@@ -94,14 +89,8 @@
      * @return a target with a free slot, or empty if there is none
      */
     public Optional<TargetLoad> chooseToMeasure(List<TargetLoad> unmeasured, long draw) {
-        return leastUtilized(matching(unmeasured, target -> target.freeSlots() > 0), draw)
-                .or(
-                        () ->
-                                leastUtilized(
-                                        matching(
-                                                unmeasured,
-                                                target -> target.freeSlotsForOnline() > 0),
-                                        draw));
+        return leastUtilized(matching(unmeasured, TargetLoad::isFree), draw)
+                .or(() -> leastUtilized(matching(unmeasured, TargetLoad::isFreeForOnline), draw));
     }
 
     private boolean isInZone(TargetLoad target) {
--- a/core/src/main/java/org/sardinelift/core/load/RetryAfterSchedule.java
+++ b/core/src/main/java/org/sardinelift/core/load/RetryAfterSchedule.java
@@ -18,7 +18,7 @@
      * Time over which the rate of new calls is averaged; a fraction of the length of a traffic
      * peak.
      */
-    private static final double RATE_WINDOW_SECONDS = 0.4;
+    private static final Duration RATE_WINDOW = Duration.ofMillis(400);
 
     /** Fraction of the freed slots that new calls must leave for times to be based on the rest. */
     private static final double MIN_SPARE_FRACTION = 0.1;
@@ -29,10 +29,9 @@
     /** A caller that returns sooner wastes its attempt on the same peak. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(60);
 
+    private final CallRate newCalls = CallRate.averagedOver(RATE_WINDOW);
     private long lastReturn;
     private boolean hasLastReturn;
-    private double callsPerSecond;
-    private long rateUpdatedAt;
 
     private RetryAfterSchedule() {}
 
@@ -51,13 +50,7 @@
      * @param now the time
      */
     public void onNewCall(long now) {
-        callsPerSecond = rate(now) + 1 / RATE_WINDOW_SECONDS;
-        rateUpdatedAt = now;
-    }
-
-    private double rate(long now) {
-        double seconds = (now - rateUpdatedAt) / NANOS_PER_SECOND;
-        return callsPerSecond * Math.exp(-seconds / RATE_WINDOW_SECONDS);
+        newCalls.onCall(now);
     }
 
     /**
@@ -72,7 +65,7 @@
      */
     public Duration nextRetryAfter(
             Duration untilCapacity, double slotsPerSecond, Duration longest, long draw, long now) {
-        double spareSlotsPerSecond = slotsPerSecond - rate(now);
+        double spareSlotsPerSecond = slotsPerSecond - newCalls.perSecond(now);
         if (spareSlotsPerSecond <= MIN_SPARE_FRACTION * slotsPerSecond) {
             double fraction = 1 - LONGEST_SPREAD_FRACTION * Math.floorMod(draw, 1_000) / 1_000.0;
             return Duration.ofNanos((long) (longest.toNanos() * fraction));
--- a/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
@@ -10,6 +10,7 @@
  * @param callNanos time that a call occupies a slot, nanoseconds
  * @param timeToFirstEventNanos time from sending a call to its first event if a slot is free,
  *     nanoseconds
+ * @param sendDelayNanos time until the target's rate limit allows another request, nanoseconds
  */
 public record TargetLoad(
         String id,
@@ -17,7 +18,18 @@
         int slots,
         TargetCalls calls,
         long callNanos,
-        long timeToFirstEventNanos) {
+        long timeToFirstEventNanos,
+        long sendDelayNanos) {
+
+    /**
+     * Returns the load with another delay until a request may be sent.
+     *
+     * @param nanos the delay, nanoseconds
+     * @return the load
+     */
+    public TargetLoad withSendDelay(long nanos) {
+        return new TargetLoad(id, zone, slots, calls, callNanos, timeToFirstEventNanos, nanos);
+    }
 
     /**
      * Returns the slots that no call occupies.
@@ -37,6 +49,25 @@
         return slots - calls.online();
     }
 
+    /**
+     * Returns whether a call sent now would run at once.
+     *
+     * @return true if a slot is free and the rate limit allows a request
+     */
+    public boolean isFree() {
+        return freeSlots() > 0 && sendDelayNanos == 0;
+    }
+
+    /**
+     * Returns whether an online call sent now would run at once, if need be in the slot of a batch
+     * item.
+     *
+     * @return true if no online call occupies a slot and the rate limit allows a request
+     */
+    public boolean isFreeForOnline() {
+        return freeSlotsForOnline() > 0 && sendDelayNanos == 0;
+    }
+
     /**
      * Returns how long another online call would wait for a slot.
      *
@@ -50,9 +81,9 @@
     /**
      * Returns how long another online call would wait for its first event.
      *
-     * @return expected time from sending the call, nanoseconds
+     * @return expected time from now, nanoseconds
      */
     public long expectedFirstEventNanos() {
-        return expectedWaitNanos() + timeToFirstEventNanos;
+        return Math.max(expectedWaitNanos(), sendDelayNanos) + timeToFirstEventNanos;
     }
 }
--- a/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
+++ b/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
@@ -20,4 +20,14 @@
         String zone,
         int slots,
         boolean isLeaving,
-        long startedAtMs) {}
+        long startedAtMs) {
+
+    /**
+     * Names this life of the target, also where it keeps its id in the next one.
+     *
+     * @return id and start
+     */
+    public String incarnation() {
+        return id + "/" + startedAtMs;
+    }
+}
--- a/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
+++ b/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
@@ -12,14 +12,14 @@
 public final class ServingPlan {
     private final long version;
     private final Map<String, List<RoutePlan>> routesByHost;
-    private final Map<String, TeamRateLimit> rateLimits;
+    private final Map<String, RateLimit> rateLimits;
     private final Map<String, String> teamByKey;
     private final RequestLimits requestLimits;
 
     private ServingPlan(
             long version,
             Map<String, List<RoutePlan>> routesByHost,
-            Map<String, TeamRateLimit> teams,
+            Map<String, RateLimit> teams,
             Map<String, String> teamByKey,
             RequestLimits requestLimits) {
         this.version = version;
@@ -42,7 +42,7 @@
     public static ServingPlan of(
             long version,
             List<RoutePlan> routes,
-            List<TeamRateLimit> teams,
+            List<RateLimit> teams,
             Map<String, String> teamByKey,
             RequestLimits requestLimits) {
         Map<String, List<RoutePlan>> byHost =
@@ -51,7 +51,7 @@
                                 Comparator.comparingInt(
                                         (RoutePlan route) -> -route.pathPrefix().length()))
                         .collect(Collectors.groupingBy(RoutePlan::host));
-        Map<String, TeamRateLimit> byName = new HashMap<>();
+        Map<String, RateLimit> byName = new HashMap<>();
         teams.forEach(team -> byName.put(team.name(), team));
         return new ServingPlan(version, byHost, byName, Map.copyOf(teamByKey), requestLimits);
     }
@@ -109,7 +109,7 @@
      * @param name name of the team
      * @return its limit, or empty if there is no such team
      */
-    public Optional<TeamRateLimit> rateLimit(String name) {
+    public Optional<RateLimit> rateLimit(String name) {
         return Optional.ofNullable(rateLimits.get(name));
     }
 
@@ -118,7 +118,7 @@
      *
      * @return limits by name of the team
      */
-    public Map<String, TeamRateLimit> rateLimits() {
+    public Map<String, RateLimit> rateLimits() {
         return rateLimits;
     }
 
--- a/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
+++ b/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
@@ -6,30 +6,33 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.sardinelift.core.plan.TeamRateLimit;
+import org.sardinelift.core.plan.RateLimit;
 
 /**
- * Token buckets of all teams over all gateways together. Each gateway keeps its own copy of each
- * bucket and charges its own calls to it at once, and those of its peers when they report them.
+ * Token buckets over all instances together, one for each limited team or target. Each instance
+ * keeps its own copy of each bucket and charges its own calls to it at once, and those of its peers
+ * when they report them.
  *
- * <p>A gateway that stops reporting may still admit calls that others don't see. The buckets are
+ * <p>An instance that stops reporting may still admit calls that others don't see. The buckets are
  * therefore divided: while a peer is silent, its equal part of each rate and burst is reserved for
- * it, and a gateway that gets no reports has only its own equal part. A peer is detected as silent
- * only after a timeout; what was spent here since its last report beyond the part of the gateways
- * that still report is then paid back. Whichever groups of gateways lose contact with each other,
- * their parts add up to the rate and burst.
+ * it, and an instance that gets no reports has only its own equal part. A peer is detected as
+ * silent only after a timeout; what was spent here since its last report beyond the part of the
+ * instances that still report is then paid back. Whichever groups of instances lose contact with
+ * each other, their parts add up to the rate and burst.
  *
- * <p>Calls of one team that arrive unevenly at the gateways, all at one of them or in turn, are
- * admitted up to the whole rate wherever they arrive. Times are nanoseconds of a monotonic clock.
- * Not safe for use by several threads at once.
+ * <p>Calls under one limit that arrive unevenly at the instances, all at one of them or in turn,
+ * are admitted up to the whole rate wherever they arrive. Times are nanoseconds of a monotonic
+ * clock. Not safe for use by several threads at once.
  */
 public final class FleetQuota {
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** Time within which a peer that reports again has reported the counts of all teams. */
+    /** Time within which a peer that reports again has reported all counts. */
     private static final long RETURN_PERIOD_NANOS = 3_000_000_000L;
 
-    /** Spendings kept for each team; far more than a gateway admits within the silence timeout. */
+    /**
+     * Spendings kept for each bucket; far more than an instance admits within the silence timeout.
+     */
     private static final int MAX_RECENT_SPENDINGS = 500;
 
     private final QuotaBounds bounds;
@@ -46,8 +49,8 @@
     }
 
     /**
-     * Creates the buckets of a gateway that has just started. All are empty, since others may have
-     * spent their tokens, and fill from that time on.
+     * Creates the buckets of an instance that has just started. All are empty, since others may
+     * have spent their tokens, and fill from that time on.
      *
      * @param bounds timeouts
      * @param now current time
@@ -58,17 +61,49 @@
     }
 
     /**
-     * Sets the teams of the plan; the buckets of other teams are removed.
+     * Sets all limits; the buckets of others are removed.
      *
-     * @param teams teams by name
+     * @param limits limits by name
      * @param now current time
      */
-    public void updateTeams(Map<String, TeamRateLimit> teams, long now) {
+    public void updateLimits(Map<String, RateLimit> limits, long now) {
         detectSilentPeers(now);
-        buckets.keySet().retainAll(teams.keySet());
-        teams.values().stream()
-                .filter(TeamRateLimit::isLimited)
-                .forEach(team -> bucket(team).refill(team, usablePart, now));
+        buckets.keySet().retainAll(limits.keySet());
+        limits.values().stream()
+                .filter(RateLimit::isLimited)
+                .forEach(limit -> bucket(limit).refill(limit, usablePart, now));
+    }
+
+    /**
+     * Adds or changes one limit. The bucket of a new one is empty, since calls that were not
+     * counted have just been made.
+     *
+     * @param limit the limit
+     * @param now current time
+     */
+    public void setLimit(RateLimit limit, long now) {
+        detectSilentPeers(now);
+        buckets.computeIfAbsent(limit.name(), name -> new Bucket(limit, now))
+                .refill(limit, usablePart, now);
+    }
+
+    /**
+     * Removes one limit. Its count goes on if it is set again.
+     *
+     * @param name its name
+     */
+    public void removeLimit(String name) {
+        buckets.remove(name);
+    }
+
+    /**
+     * Drops the counts of all but some limits.
+     *
+     * @param names names of the limits whose counts are kept
+     */
+    public void retainCounts(Set<String> names) {
+        admittedCounts.keySet().retainAll(names);
+        peers.values().forEach(peer -> peer.counts.keySet().retainAll(names));
     }
 
     /**
@@ -83,50 +118,83 @@
             buckets.values()
                     .forEach(
                             bucket -> {
-                                bucket.refill(bucket.team, usablePart, now);
+                                bucket.refill(bucket.limit, usablePart, now);
                                 bucket.reduceTo(keptPart, now, bounds.silenceTimeout().toNanos());
                             });
         } else if (currentPart > usablePart) {
-            buckets.values().forEach(bucket -> bucket.refill(bucket.team, usablePart, now));
+            buckets.values().forEach(bucket -> bucket.refill(bucket.limit, usablePart, now));
         }
         usablePart = currentPart;
     }
 
     /**
-     * Admits a call if the team's bucket allows it.
+     * Admits a call if the bucket of a limit allows it.
      *
-     * @param team rate limit of the team
+     * @param limit the limit
      * @param now current time
      * @return 0 if the call was admitted, otherwise the time until one may be, nanoseconds
      */
-    public long tryAdmit(TeamRateLimit team, long now) {
-        if (!team.isLimited()) {
+    public long tryAdmit(RateLimit limit, long now) {
+        if (!limit.isLimited()) {
             return 0;
         }
         detectSilentPeers(now);
-        Bucket bucket = bucket(team);
-        bucket.refill(team, usablePart, now);
-        if (bucket.tokens >= 1) {
-            bucket.spend(1, now);
-            admittedCounts.merge(team.name(), 1L, Long::sum);
+        Bucket bucket = bucket(limit);
+        bucket.refill(limit, usablePart, now);
+        long wait = bucket.nanosUntilToken(usablePart);
+        if (wait == 0) {
+            charge(bucket, now);
+        }
+        return wait;
+    }
+
+    /**
+     * Returns when a limit allows a call, without admitting one.
+     *
+     * @param name name of the limit
+     * @param now current time
+     * @return 0 if it allows one now or is not set, otherwise the time until it does, nanoseconds
+     */
+    public long nanosUntilAdmission(String name, long now) {
+        Bucket bucket = buckets.get(name);
+        if (bucket == null) {
             return 0;
         }
-        double missingTokens = 1 - bucket.tokens;
-        return Math.max(
-                1, (long) (missingTokens / (team.ratePerSecond() * usablePart) * NANOS_PER_SECOND));
+        bucket.refill(bucket.limit, usablePart, now);
+        return bucket.nanosUntilToken(usablePart);
     }
 
     /**
-     * Returns the calls that this gateway admitted since its start, for the reports to peers.
+     * Admits a call whether or not its limit allows it, such as one that is made later, when the
+     * limit will allow it. Later calls wait until the bucket has refilled.
      *
-     * @return number of calls by team
+     * @param name name of the limit; without effect if it is not set
+     * @param now current time
+     */
+    public void admit(String name, long now) {
+        Bucket bucket = buckets.get(name);
+        if (bucket != null) {
+            bucket.refill(bucket.limit, usablePart, now);
+            charge(bucket, now);
+        }
+    }
+
+    private void charge(Bucket bucket, long now) {
+        bucket.spend(1, now);
+        admittedCounts.merge(bucket.limit.name(), 1L, Long::sum);
+    }
+
+    /**
+     * Returns the calls that this instance admitted since its start, for the reports to peers.
+     *
+     * @return number of calls by name of the limit
      */
     public Map<String, Long> admittedCounts() {
         return admittedCounts;
     }
 
     /**
-     * Adds a gateway that shares the buckets; it counts as silent until it reports.
+     * Adds an instance that shares the buckets; it counts as silent until it reports.
      *
      * @param name name of the peer
      * @param now current time
@@ -136,7 +204,7 @@
     }
 
     /**
-     * Removes a gateway that has stopped for good.
+     * Removes an instance that has stopped for good.
      *
      * @param name name of the peer
      */
@@ -150,11 +218,16 @@
      * @param name name of the peer
      * @param incarnation incarnation of the peer; counts start at 0 in each
      * @param ageNanos age of that incarnation
-     * @param counts calls that it admitted since its start, for some or all teams
+     * @param counts calls that it admitted since its start, for some or all limits
      * @param now current time
      */
     public void onReport(
-            String name, long incarnation, long ageNanos, Map<String, Long> counts, long now) {
+            String name,
+            long incarnation,
+            long ageNanos,
+            Map<String, AdmittedCount> counts,
+            long now) {
+        boolean isNew = !peers.containsKey(name);
         Peer peer = peers.computeIfAbsent(name, key -> new Peer(now));
         if (incarnation < peer.incarnation) {
             return;
@@ -164,49 +237,57 @@
             peer.counts.clear();
             peer.hasCountsFromStart = ageNanos <= bounds.newPeerAge().toNanos();
         }
-        detectSilentPeers(now);
-        if (now - peer.reportedAt >= bounds.silenceTimeout().toNanos()) {
+        boolean isSilent = now - peer.reportedAt >= bounds.silenceTimeout().toNanos();
+        boolean changesParts = isNew || isSilent;
+        if (changesParts) {
+            detectSilentPeers(now);
+        }
+        if (isSilent) {
             peer.silentForNanos = now - peer.reportedAt;
             peer.returnedAt = now;
-            peer.settledTeams.clear();
+            peer.settledLimits.clear();
         }
         peer.reportedAt = now;
-        counts.forEach((team, count) -> countPeerCalls(peer, team, count, now));
-        detectSilentPeers(now);
+        counts.forEach((limit, count) -> countPeerCalls(peer, limit, count, now));
+        if (changesParts) {
+            detectSilentPeers(now);
+        }
     }
 
-    private void countPeerCalls(Peer peer, String team, long count, long now) {
-        Long previousCount = peer.counts.get(team);
-        if (previousCount == null && !peer.hasCountsFromStart) {
-            peer.counts.put(team, count);
+    private void countPeerCalls(Peer peer, String limit, AdmittedCount count, long now) {
+        Long previousCount = peer.counts.get(limit);
+        boolean isCountedFromStart =
+                peer.hasCountsFromStart || count.ageNanos() <= bounds.newPeerAge().toNanos();
+        if (previousCount == null && !isCountedFromStart) {
+            peer.counts.put(limit, count.calls());
             return;
         }
-        long newCalls = count - (previousCount == null ? 0 : previousCount);
+        long newCalls = count.calls() - (previousCount == null ? 0 : previousCount);
         if (newCalls <= 0) {
             return;
         }
-        peer.counts.put(team, count);
-        Bucket bucket = buckets.get(team);
+        peer.counts.put(limit, count.calls());
+        Bucket bucket = buckets.get(limit);
         if (bucket != null) {
             // Refilled first: tokens that a full bucket could not hold must not pay for these
             // calls.
-            bucket.refill(bucket.team, usablePart, now);
-            bucket.spend(Math.max(0, newCalls - reservedFor(peer, bucket.team, now)), now);
+            bucket.refill(bucket.limit, usablePart, now);
+            bucket.spend(Math.max(0, newCalls - reservedFor(peer, bucket.limit, now)), now);
         }
     }
 
     /**
      * Returns what was reserved for a peer while it was silent and must not be counted twice; once
-     * for each team after each return, since a report does not contain all teams.
+     * for each limit after each return, since a report does not contain all counts.
      */
-    private double reservedFor(Peer peer, TeamRateLimit team, long now) {
+    private double reservedFor(Peer peer, RateLimit limit, long now) {
         boolean hasReturned =
                 now - peer.returnedAt < RETURN_PERIOD_NANOS && peer.silentForNanos > 0;
-        if (!hasReturned || !peer.settledTeams.add(team.name())) {
+        if (!hasReturned || !peer.settledLimits.add(limit.name())) {
             return 0;
         }
         double seconds = peer.silentForNanos / NANOS_PER_SECOND;
-        return (team.burst() + seconds * team.ratePerSecond()) / (peers.size() + 1.0);
+        return (limit.burst() + seconds * limit.ratePerSecond()) / (peers.size() + 1.0);
     }
 
     /**
@@ -225,8 +306,8 @@
     }
 
     /**
-     * Returns the part of each rate that this gateway may use: that of the gateways that report to
-     * it, and its own.
+     * Returns the part of each rate that this instance may use: that of the instances that report
+     * to it, and its own.
      */
     private double computeUsablePart(long now) {
         long timeout = bounds.silenceTimeout().toNanos();
@@ -236,44 +317,53 @@
     }
 
     /**
-     * Describes the state of a team's bucket, for the log.
+     * Describes the state of a bucket, for the log.
      *
-     * @param team name of the team
-     * @return tokens in the bucket and the part of the rate that this gateway may admit
+     * @param limit name of the limit
+     * @return tokens in the bucket and the part of the rate that this instance may admit
      */
-    public String describe(String team) {
-        Bucket bucket = buckets.get(team);
+    public String describe(String limit) {
+        Bucket bucket = buckets.get(limit);
         double tokens = bucket == null ? 0 : bucket.tokens;
         return "tokens %.2f, part %.2f of %d gateways"
                 .formatted(tokens, usablePart, peers.size() + 1);
     }
 
-    private Bucket bucket(TeamRateLimit team) {
-        return buckets.computeIfAbsent(team.name(), name -> new Bucket(team, startedAt));
+    private Bucket bucket(RateLimit limit) {
+        return buckets.computeIfAbsent(limit.name(), name -> new Bucket(limit, startedAt));
     }
 
     private static final class Bucket {
         private final Deque<Spending> recentSpendings = new ArrayDeque<>();
-        private TeamRateLimit team;
+        private RateLimit limit;
         private double tokens;
         private long filledAt;
 
         /** Tokens spent at a time. */
         private record Spending(double tokens, long at) {}
 
-        Bucket(TeamRateLimit team, long now) {
-            this.team = team;
+        Bucket(RateLimit limit, long now) {
+            this.limit = limit;
             this.filledAt = now;
         }
 
-        void refill(TeamRateLimit current, double part, long now) {
+        void refill(RateLimit current, double part, long now) {
             double seconds = Math.max(0, now - filledAt) / NANOS_PER_SECOND;
             double capacity = Math.max(1, current.burst() * part);
-            tokens = Math.min(capacity, tokens + seconds * team.ratePerSecond() * part);
-            team = current;
+            tokens = Math.min(capacity, tokens + seconds * limit.ratePerSecond() * part);
+            limit = current;
             filledAt = Math.max(filledAt, now);
         }
 
+        /** Returns the time until a token is in the bucket, 0 if there is one. */
+        long nanosUntilToken(double part) {
+            if (tokens >= 1) {
+                return 0;
+            }
+            double seconds = (1 - tokens) / (limit.ratePerSecond() * part);
+            return Math.max(1, (long) (seconds * NANOS_PER_SECOND));
+        }
+
         void spend(double count, long now) {
             tokens -= count;
             recentSpendings.addLast(new Spending(count, now));
@@ -301,7 +391,7 @@
         private long reportedAt;
         private long incarnation;
         private boolean hasCountsFromStart;
-        private final Set<String> settledTeams = new HashSet<>();
+        private final Set<String> settledLimits = new HashSet<>();
         private long silentForNanos;
         private long returnedAt;
 
--- /dev/null
+++ b/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
@@ -0,0 +1,293 @@
+package org.sardinelift.core.quota;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.sardinelift.core.plan.RateLimit;
+
+/**
+ * Limits on the rate of requests that targets state in their responses, kept by all instances
+ * together.
+ *
+ * <p>An instance learns a limit from the responses to its own requests, and from other instances,
+ * which report what their own responses stated but not what they heard from others. The newest
+ * statement holds. Responses overtake each other, so one that states no limit is only as new as the
+ * request that it answers, while one that states a limit is as new as its arrival. Requests of all
+ * instances are counted by a {@link FleetQuota}.
+ *
+ * <p>Targets are named by incarnation: a limit ends with it. Times are nanoseconds of a monotonic
+ * clock. Not thread-safe.
+ */
+public final class TargetRateLimits {
+    /**
+     * Lowest rate. A target that takes less still gets a request now and then, whose response shows
+     * whether the limit still holds.
+     */
+    private static final double MIN_REQUESTS_PER_SECOND = 0.2;
+
+    /**
+     * Time for which a target that is not registered, such as in an outage of the store, is kept.
+     */
+    private static final Duration ABSENCE_TIMEOUT = Duration.ofSeconds(60);
+
+    /** Requests at once, as the time in which the limit allows them. */
+    private static final Duration BURST_TIME = Duration.ofMillis(250);
+
+    private final FleetQuota quota;
+    private final long repeatNanos;
+    private final Map<String, State> states = new HashMap<>();
+    private int limitedCount;
+
+    private TargetRateLimits(FleetQuota quota, Duration repeatPeriod) {
+        this.quota = quota;
+        this.repeatNanos = repeatPeriod.toNanos();
+    }
+
+    /**
+     * Creates the limits of an instance that knows none yet.
+     *
+     * @param quota counts the requests of all instances; used for nothing else
+     * @param repeatPeriod time for which reports repeat a change, for instances that missed one
+     * @return the limits
+     */
+    public static TargetRateLimits create(FleetQuota quota, Duration repeatPeriod) {
+        return new TargetRateLimits(quota, repeatPeriod);
+    }
+
+    /**
+     * A change of a limit, for the log.
+     *
+     * @param before requests per second, empty if there was no limit
+     * @param after requests per second, empty if there is none any more
+     */
+    public record Change(OptionalDouble before, OptionalDouble after) {}
+
+    /**
+     * What an instance reports of a target to the others.
+     *
+     * @param target the target
+     * @param statement what its last response to this instance stated, empty if there was none
+     * @param sent requests sent to it by this instance while it was limited
+     */
+    public record Report(String target, Optional<Statement> statement, AdmittedCount sent) {}
+
+    /**
+     * What a target stated.
+     *
+     * @param perSecond requests per second, empty if it stated no limit
+     * @param at the time as of which this holds
+     */
+    public record Statement(OptionalDouble perSecond, long at) {}
+
+    private static final class State {
+        private Statement latest;
+        private Optional<Statement> own = Optional.empty();
+        private long ownChangedAt;
+        private long firstRequestAt;
+        private long lastRequestAt;
+        private boolean hasRequests;
+        private boolean isRegistered = true;
+        private long unregisteredAt;
+
+        State(Statement latest) {
+            this.latest = latest;
+        }
+
+        void setRegistered(boolean registered, long now) {
+            if (isRegistered && !registered) {
+                unregisteredAt = now;
+            }
+            isRegistered = registered;
+        }
+
+        boolean isGone(long now) {
+            return !isRegistered && now - unregisteredAt >= ABSENCE_TIMEOUT.toNanos();
+        }
+    }
+
+    /**
+     * A target responded to a request of this instance.
+     *
+     * @param target the target
+     * @param stated what the response states
+     * @param sentAt when the request was sent
+     * @param now the time
+     * @return the change of the target's limit, empty if there is none
+     */
+    public Optional<Change> onResponse(String target, StatedRate stated, long sentAt, long now) {
+        State state = states.get(target);
+        if (stated instanceof StatedRate.Unreadable
+                || stated instanceof StatedRate.Unlimited && state == null) {
+            return Optional.empty();
+        }
+        Statement statement =
+                stated instanceof StatedRate.Limited limited
+                        ? new Statement(OptionalDouble.of(limited.perSecond()), now)
+                        : new Statement(OptionalDouble.empty(), sentAt);
+        Optional<Change> change = apply(target, statement, now);
+        State updated = states.get(target);
+        if (updated.latest.equals(statement)) {
+            boolean isNews =
+                    updated.own
+                            .filter(own -> own.perSecond().equals(statement.perSecond()))
+                            .isEmpty();
+            if (isNews || change.isPresent()) {
+                updated.ownChangedAt = now;
+            }
+            updated.own = Optional.of(statement);
+        }
+        return change;
+    }
+
+    /**
+     * Another instance reported what a target stated to it.
+     *
+     * @param target the target
+     * @param statement what it stated
+     * @param now the time
+     * @return the change of the target's limit, empty if there is none
+     */
+    public Optional<Change> onPeerStatement(String target, Statement statement, long now) {
+        return apply(target, statement, now);
+    }
+
+    private Optional<Change> apply(String target, Statement statement, long now) {
+        State state = states.get(target);
+        if (state != null && statement.at() - state.latest.at() < 0) {
+            return Optional.empty();
+        }
+        OptionalDouble before = state == null ? OptionalDouble.empty() : state.latest.perSecond();
+        if (state == null) {
+            states.put(target, new State(statement));
+        } else {
+            state.latest = statement;
+        }
+        if (statement.perSecond().equals(before)) {
+            return Optional.empty();
+        }
+        if (statement.perSecond().isPresent()) {
+            quota.setLimit(toRateLimit(target, statement.perSecond().getAsDouble()), now);
+        } else {
+            quota.removeLimit(target);
+        }
+        countLimited();
+        return Optional.of(new Change(before, statement.perSecond()));
+    }
+
+    private void countLimited() {
+        limitedCount = (int) states.values().stream().filter(TargetRateLimits::isLimited).count();
+    }
+
+    private static boolean isLimited(State state) {
+        return state.latest.perSecond().isPresent();
+    }
+
+    private static RateLimit toRateLimit(String target, double perSecond) {
+        double rate = Math.max(MIN_REQUESTS_PER_SECOND, perSecond);
+        double seconds = BURST_TIME.toMillis() / (double) TimeUnit.SECONDS.toMillis(1);
+        return new RateLimit(target, rate, Math.max(1, rate * seconds));
+    }
+
+    /**
+     * Returns the limit of a target.
+     *
+     * @param target the target
+     * @return requests per second as the target stated them, empty if it has no limit
+     */
+    public OptionalDouble limit(String target) {
+        State state = limitedCount == 0 ? null : states.get(target);
+        return state == null ? OptionalDouble.empty() : state.latest.perSecond();
+    }
+
+    /**
+     * Returns when a target's limit allows another request.
+     *
+     * @param target the target
+     * @param now the time
+     * @return 0 if it allows one now or there is no limit, otherwise the time until it does
+     */
+    public long nanosUntilRequest(String target, long now) {
+        return limitedCount == 0 ? 0 : quota.nanosUntilAdmission(target, now);
+    }
+
+    /**
+     * A request of any kind is sent to a target, or is going to be sent when the limit allows it.
+     *
+     * @param target the target
+     * @param now the time
+     */
+    public void onRequest(String target, long now) {
+        if (limit(target).isEmpty()) {
+            return;
+        }
+        quota.admit(target, now);
+        State state = states.get(target);
+        if (!state.hasRequests) {
+            state.hasRequests = true;
+            state.firstRequestAt = now;
+        }
+        state.lastRequestAt = now;
+    }
+
+    /**
+     * Forgets targets that have not been registered for a while.
+     *
+     * @param registered the targets that are registered now
+     * @param now the time
+     */
+    public void onRegistered(Set<String> registered, long now) {
+        states.forEach((target, state) -> state.setRegistered(registered.contains(target), now));
+        List<String> gone =
+                states.entrySet().stream()
+                        .filter(each -> each.getValue().isGone(now))
+                        .map(Map.Entry::getKey)
+                        .toList();
+        gone.forEach(quota::removeLimit);
+        states.keySet().removeAll(gone);
+        countLimited();
+        quota.retainCounts(states.keySet());
+    }
+
+    /**
+     * Returns what to report to the other instances.
+     *
+     * @param isFull whether to name all limited targets, else those with a change or a request
+     *     lately
+     * @param now the time
+     * @return the targets, those with the latest change or request first
+     */
+    public List<Report> reports(boolean isFull, long now) {
+        return states.entrySet().stream()
+                .filter(each -> isReported(each.getValue(), isFull, now))
+                .sorted((a, b) -> Long.signum(changedAt(b.getValue()) - changedAt(a.getValue())))
+                .map(each -> toReport(each.getKey(), each.getValue(), now))
+                .toList();
+    }
+
+    private boolean isReported(State state, boolean isFull, long now) {
+        boolean hasOwnNews = state.own.isPresent() && now - state.ownChangedAt < repeatNanos;
+        boolean hasNewRequests = state.hasRequests && now - state.lastRequestAt < repeatNanos;
+        boolean isKnownHere = state.own.isPresent() || state.hasRequests;
+        boolean isReportedInFull = isFull && isLimited(state) && isKnownHere;
+        return state.isRegistered && (hasOwnNews || hasNewRequests || isReportedInFull);
+    }
+
+    private static long changedAt(State state) {
+        return state.hasRequests
+                ? Math.max(state.ownChangedAt, state.lastRequestAt)
+                : state.ownChangedAt;
+    }
+
+    private Report toReport(String target, State state, long now) {
+        long sent = quota.admittedCounts().getOrDefault(target, 0L);
+        long sentSince = state.hasRequests ? now - state.firstRequestAt : 0;
+        Optional<Statement> statement =
+                state.own.filter(own -> own.perSecond().equals(state.latest.perSecond()));
+        return new Report(target, statement, new AdmittedCount(sent, sentSince));
+    }
+}
--- a/core/src/test/java/org/sardinelift/core/load/BatchSlotSelectorTest.java
+++ b/core/src/test/java/org/sardinelift/core/load/BatchSlotSelectorTest.java
@@ -16,7 +16,7 @@
                     "near", Duration.ofMillis(40), Duration.ofMillis(150), Duration.ofMillis(6));
 
     private static TargetLoad target(String id, String zone, int calls) {
-        return new TargetLoad(id, zone, 8, new TargetCalls(calls, 0), 750 * MILLI, 50 * MILLI);
+        return new TargetLoad(id, zone, 8, new TargetCalls(calls, 0), 750 * MILLI, 50 * MILLI, 0);
     }
 
     private String selected(long ms, TargetLoad... targets) {
@@ -62,4 +62,14 @@
         assertTrue(selector.hasFreeSlot(List.of(target("a", "near", 6))));
         assertEquals("a", selected(46, target("a", "near", 6), target("c", "near", 7)));
     }
+
+    @Test
+    void aSlotWhoseTargetIsAtItsRateLimitIsNotFree() {
+        TargetLoad limited = target("a", "near", 0).withSendDelay(5 * MILLI);
+
+        assertEquals("none", selected(0, limited));
+        assertEquals("none", selected(100, limited));
+        assertEquals("none", selected(105, target("a", "near", 0)));
+        assertEquals("a", selected(145, target("a", "near", 0)));
+    }
 }
--- a/core/src/test/java/org/sardinelift/core/load/PlacementTest.java
+++ b/core/src/test/java/org/sardinelift/core/load/PlacementTest.java
@@ -1,6 +1,7 @@
 package org.sardinelift.core.load;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -17,7 +18,8 @@
     private final Placement placement = Placement.of("near", Duration.ofMillis(30));
 
     private static TargetLoad target(String id, String zone, int online, int batch) {
-        return new TargetLoad(id, zone, 8, new TargetCalls(online, batch), 800 * MILLI, 50 * MILLI);
+        return new TargetLoad(
+                id, zone, 8, new TargetCalls(online, batch), 800 * MILLI, 50 * MILLI, 0);
     }
 
     private String chosen(TargetLoad... targets) {
@@ -53,7 +55,8 @@
     @Test
     void avoidsASlowTargetWhoseSlotIsFree() {
         TargetLoad slow =
-                new TargetLoad("a", "near", 8, new TargetCalls(2, 0), 4_000 * MILLI, 250 * MILLI);
+                new TargetLoad(
+                        "a", "near", 8, new TargetCalls(2, 0), 4_000 * MILLI, 250 * MILLI, 0);
 
         assertEquals("b", chosen(slow, target("b", "near", 3, 0)));
     }
@@ -106,7 +109,8 @@
                 8,
                 TargetCalls.NONE,
                 health.callNanos(),
-                health.timeToFirstEventNanos());
+                health.timeToFirstEventNanos(),
+                0);
     }
 
     @Test
@@ -146,4 +150,32 @@
 
         assertTrue(toFirst > 120 && toFirst < 280, "" + toFirst);
     }
+
+    /** At its limit it has free slots, but is no choice while another target can run the call. */
+    @Test
+    void aTargetWhoseRateLimitAllowsNoRequestNowIsNotPreferred() {
+        TargetLoad limited = target("a", "near", 0, 0).withSendDelay(100 * MILLI);
+
+        assertEquals("b", chosen(limited, target("b", "far", 7, 0)));
+        assertEquals("a", chosen(limited, target("b", "far", 16, 0)));
+    }
+
+    @Test
+    void aCallIsRefusedIfNoRateLimitAllowsItInTime() {
+        TargetLoad limited = target("a", "near", 0, 0).withSendDelay(900 * MILLI);
+
+        Choice choice = placement.choose(List.of(limited), OBJECTIVE, 7);
+
+        Choice.Refused refused = assertInstanceOf(Choice.Refused.class, choice);
+        assertFalse(refused.hasNoTarget());
+        assertTrue(refused.retryAfter().toMillis() >= 650, refused.retryAfter().toString());
+    }
+
+    @Test
+    void aTargetWhoseRateLimitAllowsNoRequestIsNotMeasured() {
+        assertTrue(
+                placement
+                        .chooseToMeasure(List.of(target("a", "near", 0, 0).withSendDelay(MILLI)), 7)
+                        .isEmpty());
+    }
 }
--- a/core/src/test/java/org/sardinelift/core/plan/ServingPlanTest.java
+++ b/core/src/test/java/org/sardinelift/core/plan/ServingPlanTest.java
@@ -39,7 +39,7 @@
                             route("short", "a.example", "/x/"),
                             route("long", "a.example", "/x/y/"),
                             route("other", "b.example", "/")),
-                    List.of(new TeamRateLimit("t", 5, 5)),
+                    List.of(new RateLimit("t", 5, 5)),
                     Map.of("key", "t"),
                     new RequestLimits(1, 2, Duration.ZERO, Duration.ZERO));
 
--- a/core/src/test/java/org/sardinelift/core/quota/FleetQuotaTest.java
+++ b/core/src/test/java/org/sardinelift/core/quota/FleetQuotaTest.java
@@ -8,12 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
-import org.sardinelift.core.plan.TeamRateLimit;
+import org.sardinelift.core.plan.RateLimit;
 
 /**
  * Guards against a fleet of gateways that together admit more than a team's rate and burst, or much
@@ -22,7 +23,7 @@
  */
 class FleetQuotaTest {
     private static final long MILLI = 1_000_000;
-    private static final TeamRateLimit TEAM = new TeamRateLimit("t", 24, 24);
+    private static final RateLimit TEAM = new RateLimit("t", 24, 24);
 
     /** Window in which the platform allows some calls beyond rate and burst. */
     private static final int WINDOW_SECONDS = 5;
@@ -35,17 +36,17 @@
         private final List<Long> admittedAtMs = new ArrayList<>();
         private final int[] group;
         private final Random random;
-        private final TeamRateLimit team;
+        private final RateLimit team;
         private long refused;
 
-        Fleet(int size, TeamRateLimit team, long seed) {
+        Fleet(int size, RateLimit team, long seed) {
             this.team = team;
             this.group = new int[size];
             this.random = new Random(seed);
             QuotaBounds bounds = new QuotaBounds(Duration.ofMillis(600), Duration.ofSeconds(2));
             for (int i = 0; i < size; i++) {
                 FleetQuota quota = FleetQuota.create(bounds, 0);
-                quota.updateTeams(Map.of(team.name(), team), 0);
+                quota.updateLimits(Map.of(team.name(), team), 0);
                 gateways.add(quota);
             }
         }
@@ -77,7 +78,14 @@
 
         private void report(long ms) {
             for (int from = 0; from < gateways.size(); from++) {
-                Map<String, Long> counts = Map.copyOf(gateways.get(from).admittedCounts());
+                Map<String, AdmittedCount> counts =
+                        gateways.get(from).admittedCounts().entrySet().stream()
+                                .collect(
+                                        Collectors.toMap(
+                                                Map.Entry::getKey,
+                                                count ->
+                                                        new AdmittedCount(
+                                                                count.getValue(), ms * MILLI)));
                 for (int to = 0; to < gateways.size(); to++) {
                     if (from != to && group[from] == group[to]) {
                         gateways.get(to).onReport("g" + from, 1, ms * MILLI, counts, ms * MILLI);
@@ -100,7 +108,7 @@
         }
     }
 
-    private static double allowed(TeamRateLimit team) {
+    private static double allowed(RateLimit team) {
         return (team.ratePerSecond() * WINDOW_SECONDS + team.burst()) * (1 + ALLOWED_OVERRUN)
                 + ALLOWED_EXTRA_CALLS;
     }
@@ -187,10 +195,10 @@
     void restartedPeerIsCountedFromItsStart() {
         QuotaBounds bounds = new QuotaBounds(Duration.ofMillis(600), Duration.ofSeconds(2));
         FleetQuota quota = FleetQuota.create(bounds, 0);
-        quota.updateTeams(Map.of("t", TEAM), 0);
+        quota.updateLimits(Map.of("t", TEAM), 0);
         long now = 3_000 * MILLI;
-        quota.onReport("g", 1, now, Map.of("t", 500L), now);
-        quota.onReport("g", 2, MILLI, Map.of("t", 20L), now);
+        quota.onReport("g", 1, now, Map.of("t", new AdmittedCount(500, now)), now);
+        quota.onReport("g", 2, MILLI, Map.of("t", new AdmittedCount(20, MILLI)), now);
 
         long admitted = IntStream.range(0, 24).filter(i -> quota.tryAdmit(TEAM, now) == 0).count();
 
@@ -202,7 +210,7 @@
         FleetQuota quota =
                 FleetQuota.create(
                         new QuotaBounds(Duration.ofMillis(600), Duration.ofSeconds(2)), 0);
-        quota.updateTeams(Map.of("t", TEAM), 0);
+        quota.updateLimits(Map.of("t", TEAM), 0);
 
         long wait = quota.tryAdmit(TEAM, 0);
 
@@ -214,8 +222,8 @@
     void loweredRateHoldsAtOnce() {
         Fleet fleet = new Fleet(2, TEAM, 5);
         fleet.run(0, 3_000, 0, 2);
-        TeamRateLimit lowerLimit = new TeamRateLimit("t", 2, 2);
-        fleet.gateways.forEach(quota -> quota.updateTeams(Map.of("t", lowerLimit), 3_000 * MILLI));
+        RateLimit lowerLimit = new RateLimit("t", 2, 2);
+        fleet.gateways.forEach(quota -> quota.updateLimits(Map.of("t", lowerLimit), 3_000 * MILLI));
 
         long admitted =
                 IntStream.range(0, 50)
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -59,6 +59,7 @@
         this.targetTable =
                 TargetTable.create(
                         node.network().targetLoads(),
+                        node.network().rateLimits(),
                         targetClient,
                         node.loop(),
                         adapter.probePath(),
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -186,7 +186,7 @@
     private void onPlan(ServingPlan plan) {
         loop.execute(
                 () -> {
-                    network.quota().updateTeams(plan.rateLimits(), System.nanoTime());
+                    network.quota().updateLimits(plan.rateLimits(), System.nanoTime());
                     network.onLocalChange();
                     listener.onPlanChanged(plan);
                 });
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -58,7 +58,7 @@
                                     .put("zone", target.registration().zone())
                                     .put("leaving", target.registration().isLeaving())
                                     .put("usable", target.health().isUsable(now))
-                                    .put("rateLimit", rateLimit(target))
+                                    .put("rateLimit", rateLimit(targetTable, target))
                                     .put("requests", target.requests())
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
@@ -73,8 +73,8 @@
         return root.toString();
     }
 
-    private static @Nullable Double rateLimit(TargetTable.Target target) {
-        OptionalDouble limit = target.rateLimit();
+    private static @Nullable Double rateLimit(TargetTable table, TargetTable.Target target) {
+        OptionalDouble limit = table.rateLimit(target);
         return limit.isPresent() ? limit.getAsDouble() : null;
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -40,6 +40,7 @@
         TargetTable targetTable =
                 TargetTable.create(
                         node.network().targetLoads(),
+                        node.network().rateLimits(),
                         targetClient,
                         node.loop(),
                         adapter.probePath(),
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -7,9 +7,9 @@
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.plan.CallKind;
+import org.sardinelift.core.plan.RateLimit;
 import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.core.plan.ServingPlan;
-import org.sardinelift.core.plan.TeamRateLimit;
 import org.sardinelift.core.poison.RequestTraits;
 import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.PlatformAdapter;
@@ -147,7 +147,7 @@
     }
 
     private Optional<Duration> rateLimitWait(ServingPlan plan, String team) {
-        Optional<TeamRateLimit> limit = plan.rateLimit(team);
+        Optional<RateLimit> limit = plan.rateLimit(team);
         if (limit.isEmpty()) {
             return Optional.empty();
         }
@@ -159,7 +159,7 @@
     }
 
     private String rateLimitDetail(ServingPlan plan, String team) {
-        TeamRateLimit limit = plan.rateLimit(team).orElseThrow();
+        RateLimit limit = plan.rateLimit(team).orElseThrow();
         return "team %s, version %d, rate %.1f/s, burst %.1f, %s"
                 .formatted(
                         team,
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.Placement.Choice;
+import org.sardinelift.core.load.RateLimitedTargetSample;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
@@ -46,6 +48,9 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** Longer than any caller waits, for targets with a rate limit that the call isn't offered. */
+    private static final long NOT_OFFERED_DELAY_NANOS = Duration.ofMinutes(1).toNanos();
+
     private final ForwardingContext context;
     private final HttpExchange exchange;
     private final AdmittedCall call;
@@ -57,10 +62,12 @@
     private int sends;
     private int runs;
     private int events;
+    private long delayNanos;
     private long firstEventAt;
     private boolean isHeadForwarded;
     private boolean isEnded;
     private @Nullable ScheduledFuture<?> timeout;
+    private @Nullable ScheduledFuture<?> delayedSend;
 
     ForwardedCall(ForwardingContext context, HttpExchange exchange, AdmittedCall call) {
         this.context = context;
@@ -90,6 +97,7 @@
         if (call.earlierWait().isZero()) {
             context.retryTimes().onNewCall(arrivedAt);
         }
+        context.network().onCallArrived(arrivedAt);
         exchange.addCloseListener(this::onCallerDisconnected);
         long left = timeLeft(context.now()).toNanos();
         timeout = context.loop().schedule(this::onTimeout, left, TimeUnit.NANOSECONDS);
@@ -99,22 +107,40 @@
 
     private void dispatch() {
         long now = context.now();
-        List<TargetLoad> loads = context.targets().usableLoads(call.service(), triedTargets, now);
+        List<TargetLoad> loads =
+                context.targets().usableLoads(call.service(), triedTargets, now).stream()
+                        .map(this::delayUnlessOffered)
+                        .toList();
         Choice choice =
                 context.placement().choose(loads, nextEventTimeLimit(now), call.fingerprint());
         if (choice instanceof Choice.Placed placed) {
-            send(placed.target(), now);
+            place(placed.target(), now);
             return;
         }
         Optional<TargetLoad> unmeasured =
                 context.placement().chooseToMeasure(withoutOwnCalls(loads), call.fingerprint());
         if (unmeasured.isPresent()) {
-            send(unmeasured.get(), now);
+            place(unmeasured.get(), now);
         } else {
             onRefused((Choice.Refused) choice, now);
         }
     }
 
+    /** A call that was sent before is offered all targets. */
+    private TargetLoad delayUnlessOffered(TargetLoad load) {
+        Target target = context.targets().find(load.id()).orElseThrow();
+        OptionalDouble limit = context.targets().rateLimit(target);
+        boolean isOffered =
+                limit.isEmpty()
+                        || sends > 0
+                        || RateLimitedTargetSample.includes(
+                                load.id(),
+                                limit.getAsDouble(),
+                                context.network().fleetCallsPerSecond(),
+                                call.id().hashCode() ^ arrivedAt);
+        return isOffered ? load : load.withSendDelay(NOT_OFFERED_DELAY_NANOS);
+    }
+
     private List<TargetLoad> withoutOwnCalls(List<TargetLoad> loads) {
         LoadTracker tracker = context.network().targetLoads();
         return loads.stream().filter(load -> tracker.ownCalls(load.id()).online() == 0).toList();
@@ -186,11 +212,37 @@
         return left.isNegative() ? Duration.ZERO : left;
     }
 
-    private void send(TargetLoad load, long now) {
+    /** Sends the call to a target, once its rate limit allows it. */
+    private void place(TargetLoad load, long now) {
         Target target = context.targets().find(load.id()).orElseThrow();
+        context.targets().onRequest(target);
+        if (load.sendDelayNanos() == 0) {
+            send(target, load, now);
+            return;
+        }
+        context.network().onLocalChange();
+        delayNanos += load.sendDelayNanos();
+        delayedSend =
+                context.loop()
+                        .schedule(
+                                () -> sendDelayed(target, load),
+                                load.sendDelayNanos(),
+                                TimeUnit.NANOSECONDS);
+    }
+
+    private void sendDelayed(Target target, TargetLoad load) {
+        delayedSend = null;
+        long now = context.now();
+        if (context.targets().isUsable(target, now)) {
+            send(target, load, now);
+        } else {
+            dispatch();
+        }
+    }
+
+    private void send(Target target, TargetLoad load, long now) {
         sends++;
         triedTargets.add(target.id());
-        target.onRequestSent();
         context.network().targetLoads().onOwnCallsChanged(target.id(), ONE_CALL);
         context.network().onLocalChange();
         TargetAttempt next = new TargetAttempt(this, target, load, now);
@@ -252,7 +304,7 @@
         boolean hasFreeTarget =
                 mayMove
                         && context.targets().usableLoads(call.service(), triedTargets, now).stream()
-                                .anyMatch(load -> load.freeSlotsForOnline() > 0);
+                                .anyMatch(TargetLoad::isFreeForOnline);
         if (hasFreeTarget) {
             if (current.hasPartialEvent()) {
                 context.targets().onCallFailed(target);
@@ -442,6 +494,9 @@
         if (timeout != null) {
             timeout.cancel(false);
         }
+        if (delayedSend != null) {
+            delayedSend.cancel(false);
+        }
         context.stallDetector().remove(this);
         GatewayMetrics.recordCall(call.route().name(), result, context.now() - arrivedAt);
     }
@@ -458,6 +513,7 @@
                 .with("sends", sends)
                 .with("events", events)
                 .with("waited_ms", call.earlierWait().toMillis())
+                .with("delayed_ms", millis(delayNanos))
                 .with("first_ms", firstEventAt == 0 ? -1 : millis(firstEventAt - arrivedAt))
                 .with("total_ms", millis(now - arrivedAt))
                 .info();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
@@ -39,15 +39,18 @@
 
     /** Slots that become free each second for this gateway's callers. */
     double freedSlotsPerSecond(long now) {
-        double slotsPerNano =
+        double slotsPerSecond =
                 targets.all().stream()
                         .filter(target -> target.health().isUsable(now))
-                        .mapToDouble(
-                                target ->
-                                        (double) target.registration().slots()
-                                                / Math.max(1, target.health().callNanos()))
+                        .mapToDouble(this::freedSlotsPerSecond)
                         .sum();
         long gateways = 1 + network.peers().livePeers(PeerRole.GATEWAY, now).count();
-        return slotsPerNano * NANOS_PER_SECOND / gateways;
+        return slotsPerSecond / gateways;
+    }
+
+    private double freedSlotsPerSecond(TargetTable.Target target) {
+        double slots = target.registration().slots();
+        double freed = slots / Math.max(1, target.health().callNanos()) * NANOS_PER_SECOND;
+        return Math.min(freed, targets.rateLimit(target).orElse(freed));
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/RateHeader.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/RateHeader.java
@@ -1,13 +1,14 @@
 package org.sardinelift.gateway.call;
 
+import java.util.List;
 import java.util.OptionalDouble;
 import java.util.regex.Pattern;
-import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.quota.StatedRate;
 import org.tinylog.Logger;
 
 /** Parses the header in which targets limit the rate of their requests: a decimal number. */
 final class RateHeader {
-    /** Enough for any rate; longer texts are not parsed. */
+    /** Nine digits are enough for any rate; longer texts are not parsed. */
     private static final Pattern DECIMAL = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
     private RateHeader() {}
@@ -15,18 +16,23 @@
     /**
      * Parses a rate header.
      *
-     * @param text value of the header, null if it is absent
-     * @return requests per second, or empty if the header is absent or unreadable
+     * @param values values of the header, empty if it is absent
+     * @return the lowest readable rate
      */
-    static OptionalDouble parse(@Nullable String text) {
-        if (text == null) {
-            return OptionalDouble.empty();
+    static StatedRate parse(List<String> values) {
+        if (values.isEmpty()) {
+            return new StatedRate.Unlimited();
         }
-        String trimmed = text.trim();
-        if (!DECIMAL.matcher(trimmed).matches()) {
-            Logger.debug("Ignoring rate header '{}', expected a decimal number", text);
-            return OptionalDouble.empty();
+        OptionalDouble lowest =
+                values.stream()
+                        .map(String::trim)
+                        .filter(text -> DECIMAL.matcher(text).matches())
+                        .mapToDouble(Double::parseDouble)
+                        .min();
+        if (lowest.isEmpty()) {
+            Logger.debug("Ignoring rate header '{}', expected a decimal number", values);
+            return new StatedRate.Unreadable();
         }
-        return OptionalDouble.of(Double.parseDouble(trimmed));
+        return new StatedRate.Limited(lowest.getAsDouble());
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.quota.StatedRate;
 import org.sardinelift.gateway.HeaderNames;
 
 /**
@@ -18,8 +18,7 @@
  * @param isSigned whether it has the target's signature
  * @param isNotRun whether the target states that it didn't run the call
  * @param isLeaving whether the target states that it is about to stop
- * @param statedRateLimit requests per second that the target takes from all instances together,
- *     empty if it doesn't limit them
+ * @param statedRate what the target states of the rate of requests that it takes
  * @param endsWithConnection whether the body has neither a length nor chunks
  * @param statedCalls calls running and waiting at the target, empty if it didn't state them
  */
@@ -30,7 +29,7 @@
         boolean isSigned,
         boolean isNotRun,
         boolean isLeaving,
-        OptionalDouble statedRateLimit,
+        StatedRate statedRate,
         boolean endsWithConnection,
         OptionalInt statedCalls) {
     private static final int MISDIRECTED = 421;
@@ -47,7 +46,7 @@
                     false,
                     false,
                     false,
-                    OptionalDouble.empty(),
+                    new StatedRate.Unlimited(),
                     false,
                     OptionalInt.empty());
 
@@ -68,7 +67,7 @@
                 value(headers, names.signature()) != null,
                 value(headers, names.notRun()) != null,
                 TRUE.equals(value(headers, names.leaving())),
-                RateHeader.parse(value(headers, names.rateLimit())),
+                RateHeader.parse(values(headers, names.rateLimit())),
                 value(headers, "content-length") == null
                         && value(headers, "transfer-encoding") == null,
                 LoadHeader.parse(value(headers, names.load())));
@@ -127,10 +126,13 @@
 
     private static @Nullable String value(
             List<Map.Entry<String, String>> headers, Set<String> names) {
+        return values(headers, names).stream().findFirst().orElse(null);
+    }
+
+    private static List<String> values(List<Map.Entry<String, String>> headers, Set<String> names) {
         return headers.stream()
                 .filter(header -> names.stream().anyMatch(header.getKey()::equalsIgnoreCase))
                 .map(Map.Entry::getValue)
-                .findFirst()
-                .orElse(null);
+                .toList();
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -105,7 +105,7 @@
             fail(mismatch.get());
             return;
         }
-        forwardedCall.context().targets().onRateLimit(target, head.statedRateLimit());
+        recordRateLimit();
         recordLoad();
         if (head.isSuccess() && !head.isSigned()) {
             fail("the response has no signature header");
@@ -119,6 +119,13 @@
         }
     }
 
+    private void recordRateLimit() {
+        ForwardingContext context = forwardedCall.context();
+        if (context.targets().onStatedRate(target, head.statedRate(), sentAt)) {
+            context.network().onLocalChange();
+        }
+    }
+
     private void recordLoad() {
         head.statedCalls()
                 .ifPresent(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -11,12 +11,16 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.TargetHealth;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.poison.RequestTraits;
+import org.sardinelift.core.quota.StatedRate;
+import org.sardinelift.core.quota.TargetRateLimits;
+import org.sardinelift.gateway.peer.RateLimitLog;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.runtime.log.LogEvent;
@@ -37,6 +41,7 @@
     private static final int MAX_LEAVING_INCARNATIONS = 10_000;
 
     private final LoadTracker loadTracker;
+    private final TargetRateLimits rateLimits;
     private final HttpClient client;
     private final EventLoop loop;
     private final String probePath;
@@ -71,7 +76,6 @@
         private final Map<RequestTraits, Long> brokenAt = new HashMap<>();
         private boolean isMisdirected;
         private boolean isProbePending;
-        private OptionalDouble rateLimit = OptionalDouble.empty();
         private long requests;
         private long lastBytesAt;
 
@@ -116,11 +120,6 @@
             lastBytesAt = now;
         }
 
-        /** A request was sent to the target. */
-        public void onRequestSent() {
-            requests++;
-        }
-
         /**
          * Requests that this instance has sent to the target.
          *
@@ -130,15 +129,6 @@
             return requests;
         }
 
-        /**
-         * Limit on the rate of requests that the target stated last.
-         *
-         * @return requests per second, empty if it states none
-         */
-        public OptionalDouble rateLimit() {
-            return rateLimit;
-        }
-
         /**
          * When bytes were last received from the target.
          *
@@ -151,12 +141,14 @@
 
     private TargetTable(
             LoadTracker loadTracker,
+            TargetRateLimits rateLimits,
             HttpClient client,
             EventLoop loop,
             String probePath,
             Duration typicalFirstEvent,
             Duration typicalCallTime) {
         this.loadTracker = loadTracker;
+        this.rateLimits = rateLimits;
         this.client = client;
         this.loop = loop;
         this.probePath = probePath;
@@ -168,6 +160,7 @@
      * Creates a table without targets.
      *
      * @param loadTracker tracks the calls on targets
+     * @param rateLimits limits that targets state on the rate of their requests
      * @param client sends probes
      * @param loop event loop that handles the traffic
      * @param probePath path of probes
@@ -177,13 +170,20 @@
      */
     public static TargetTable create(
             LoadTracker loadTracker,
+            TargetRateLimits rateLimits,
             HttpClient client,
             EventLoop loop,
             String probePath,
             Duration typicalFirstEvent,
             Duration typicalCallTime) {
         return new TargetTable(
-                loadTracker, client, loop, probePath, typicalFirstEvent, typicalCallTime);
+                loadTracker,
+                rateLimits,
+                client,
+                loop,
+                probePath,
+                typicalFirstEvent,
+                typicalCallTime);
     }
 
     /**
@@ -203,6 +203,11 @@
     public void update(Map<String, RegisteredTarget> entries) {
         targets.keySet().retainAll(entries.keySet());
         entries.values().forEach(this::putTarget);
+        Set<String> incarnations =
+                entries.values().stream()
+                        .map(RegisteredTarget::incarnation)
+                        .collect(Collectors.toSet());
+        rateLimits.onRegistered(incarnations, System.nanoTime());
     }
 
     private void putTarget(RegisteredTarget entry) {
@@ -278,6 +283,17 @@
         return !isLeaving(target) && !target.isMisdirected && target.health.isUsable(now);
     }
 
+    /**
+     * Whether calls may be sent to a target.
+     *
+     * @param target the target
+     * @param now the time, nanoseconds
+     * @return false if it has gone, is leaving, or does not answer
+     */
+    public boolean isUsable(Target target, long now) {
+        return targets.get(target.id()) == target && isAvailable(target, now);
+    }
+
     private boolean isLeaving(Target target) {
         return target.registration.isLeaving()
                 || leavingIncarnations.contains(Incarnation.of(target.registration));
@@ -297,7 +313,8 @@
                 target.registration.slots(),
                 loadTracker.knownCalls(target.id(), now),
                 target.health.callNanos(),
-                target.health.timeToFirstEventNanos());
+                target.health.timeToFirstEventNanos(),
+                rateLimits.nanosUntilRequest(target.registration.incarnation(), now));
     }
 
     /**
@@ -321,26 +338,40 @@
     }
 
     /**
-     * A response to a call arrived, with or without a limit on the rate of requests.
+     * The head of a response to a call of this instance arrived.
      *
      * @param target the target that sent it
-     * @param limit requests per second that it takes from all instances, empty if it states none
+     * @param stated what it states of the rate of requests
+     * @param sentAt when the call was sent, nanoseconds
+     * @return whether the target's limit has changed, which other instances need to know
      */
-    public void onRateLimit(Target target, OptionalDouble limit) {
-        if (limit.equals(target.rateLimit)) {
-            return;
-        }
-        LogEvent.of("target.rate_limit")
-                .with("target", target.id())
-                .with("per_second", text(limit))
-                .with("before", text(target.rateLimit))
-                .with("requests", target.requests)
-                .info();
-        target.rateLimit = limit;
+    public boolean onStatedRate(Target target, StatedRate stated, long sentAt) {
+        String incarnation = target.registration.incarnation();
+        Optional<TargetRateLimits.Change> change =
+                rateLimits.onResponse(incarnation, stated, sentAt, System.nanoTime());
+        change.ifPresent(
+                each -> RateLimitLog.logChange(incarnation, each, "response", target.requests));
+        return change.isPresent();
     }
 
-    private static @Nullable String text(OptionalDouble limit) {
-        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : null;
+    /**
+     * A request is sent to a target, or is going to be sent once its rate limit allows it.
+     *
+     * @param target the target
+     */
+    public void onRequest(Target target) {
+        target.requests++;
+        rateLimits.onRequest(target.registration.incarnation(), System.nanoTime());
+    }
+
+    /**
+     * Limit on the rate of a target's requests.
+     *
+     * @param target the target
+     * @return requests per second over all instances, empty if it states none
+     */
+    public OptionalDouble rateLimit(Target target) {
+        return rateLimits.limit(target.registration.incarnation());
     }
 
     /**
@@ -425,6 +456,7 @@
             return;
         }
         target.isProbePending = true;
+        onRequest(target);
         client.call(probeCall(target))
                 .whenComplete(
                         (answer, error) -> {
@@ -439,10 +471,17 @@
     }
 
     private void probe(Target target) {
+        long now = System.nanoTime();
         boolean isRegistered = targets.get(target.id()) == target;
-        if (!isRegistered || !target.health.tryStartProbe(System.nanoTime())) {
+        long delay = rateLimits.nanosUntilRequest(target.registration.incarnation(), now);
+        if (isRegistered && delay > 0) {
+            loop.schedule(() -> probe(target), delay, TimeUnit.NANOSECONDS);
+            return;
+        }
+        if (!isRegistered || !target.health.tryStartProbe(now)) {
             return;
         }
+        onRequest(target);
         client.call(probeCall(target))
                 .whenComplete(
                         (answer, error) ->
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -93,7 +93,9 @@
             fail(mismatch.get());
             return;
         }
-        runner.table().onRateLimit(target, head.statedRateLimit());
+        if (runner.table().onStatedRate(target, head.statedRate(), startedAt)) {
+            runner.network().onLocalChange();
+        }
         head.statedCalls()
                 .ifPresent(
                         calls ->
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -391,9 +391,9 @@
         run.item().setRunning(true);
         running.computeIfAbsent(run.target(), key -> new ArrayList<>()).add(run);
         network.targetLoads().onOwnCallsChanged(run.target().id(), ITEM_STARTED);
+        table.onRequest(run.target());
         network.onLocalChange();
         WorkerMetrics.setRunningItems(runs().size());
-        run.target().onRequestSent();
         run.start(client, httpCall(run), now);
     }
 
--- a/protocol/src/main/thrift/sardinelift.thrift
+++ b/protocol/src/main/thrift/sardinelift.thrift
@@ -288,6 +288,20 @@
   5: i64 ageMs
 }
 
+/** A target that states a limit on the rate of its requests, as one instance knows it. */
+struct LimitedTarget {
+  /** Name of the life of the target. */
+  1: string target,
+  /** Requests per second over all instances; absent if the target states no limit any more. */
+  2: optional double perSecond,
+  /** Time since a response told this instance so; absent if none did. */
+  3: optional i64 ageMs,
+  /** Requests that this instance has sent to it, counted while it is limited. */
+  4: i64 sent,
+  /** Time since the first of them. */
+  5: i64 sentSinceMs
+}
+
 /** Where an instance takes reports. */
 struct PeerAddress {
   1: string instance,
@@ -333,5 +347,9 @@
   /** Refused traits of which this instance wants to try a request. */
   22: optional list<i64> trialTraits,
   /** In some of the reports only. */
-  23: optional list<RefusedTrait> refusedTraits
+  23: optional list<RefusedTrait> refusedTraits,
+  /** Targets with a limit that has changed or that requests were sent to lately; or all. */
+  24: optional list<LimitedTarget> limitedTargets,
+  /** Calls that have arrived at this instance, averaged over the last second. */
+  25: optional double callsPerSecond
 }
