Let a target with a rate limit get the requests of one second at once

Callers were refused at the start of a peak though the targets had got fewer requests than they take just before: a bucket held a quarter of a second. With one second a window of 4 s has 5 times the limit at most, and the allowance beyond that (once the limit, and 5) stays for requests that several instances send before they hear of each other (TargetRateLimitsFleetTest, unchanged bounds).

--- a/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
+++ b/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
@@ -35,8 +35,8 @@
      */
     private static final Duration ABSENCE_TIMEOUT = Duration.ofSeconds(60);
 
-    /** Requests at once, as the time in which the limit allows them. */
-    private static final Duration BURST_TIME = Duration.ofMillis(250);
+    /** Time whose requests a target may get at once, after it got none for that long. */
+    private static final Duration BURST_TIME = Duration.ofSeconds(1);
 
     private final FleetQuota quota;
     private final long repeatNanos;
