Leave targets with a rate limit to batch items and to peaks of calls

Cause: such a target looks the least loaded. An item uses one request for seconds, a call uses one for less than a second.

Change: calls use limited targets only when calls hold all slots of the others; items prefer them. Online calls still go first where requests are short, as they wait for the next one and items don't.

--- a/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/LoadModel.java
@@ -7,11 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.RetryAfterSchedule;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.load.TargetLoad;
+import org.sardinelift.core.plan.RateLimit;
+import org.sardinelift.core.quota.AdmittedCount;
 
 /**
  * Simulates a fleet under load in virtual time.
@@ -72,6 +75,9 @@
                                                     name,
                                                     settings.slots(),
                                                     clock)));
+        }
+        for (int zone = 0; zone < settings.zones(); zone++) {
+            String name = "z" + zone;
             IntStream.range(0, settings.gatewaysPerZone())
                     .forEach(i -> gateways.add(new Gateway(name + "-g" + i, name)));
             workers.add(new ModelWorker(name + "-w", name, this));
@@ -157,53 +163,79 @@
         return targets.stream().filter(it -> it.id().equals(id)).findFirst().orElseThrow();
     }
 
-    List<TargetLoad> loads(LoadTracker loadTracker) {
+    List<TargetLoad> loads(LoadTracker loadTracker, ModelRateLimits rateLimits) {
         return targets.stream()
-                .map(target -> load(target, loadTracker.knownCalls(target.id(), clock.now())))
+                .map(
+                        target ->
+                                load(
+                                        target,
+                                        loadTracker.knownCalls(target.id(), clock.now()),
+                                        rateLimits))
                 .toList();
     }
 
-    private List<TargetLoad> exactLoads() {
+    /** Creates what an instance knows of the limits, which the last targets have. */
+    ModelRateLimits newRateLimits() {
+        double perSecond = settings.targetRequestsPerSecond();
+        return ModelRateLimits.of(
+                IntStream.range(0, settings.limitedTargets())
+                        .mapToObj(i -> targets.get(targets.size() - 1 - i).id())
+                        .collect(
+                                Collectors.toMap(
+                                        id -> id, id -> new RateLimit(id, perSecond, perSecond))));
+    }
+
+    private List<TargetLoad> exactLoads(ModelRateLimits rateLimits) {
         return targets.stream()
                 .map(
                         target ->
                                 load(
                                         target,
                                         new TargetCalls(
-                                                target.callCount(false), target.callCount(true))))
+                                                target.callCount(false), target.callCount(true)),
+                                        rateLimits))
                 .toList();
     }
 
-    private static TargetLoad load(ModelTarget target, TargetCalls calls) {
-        return new TargetLoad(
-                target.id(),
-                target.zone(),
-                target.slots(),
-                calls,
-                CALL_NANOS,
-                FIRST_EVENT_NANOS,
-                0);
+    private TargetLoad load(ModelTarget target, TargetCalls calls, ModelRateLimits rateLimits) {
+        TargetLoad load =
+                new TargetLoad(
+                        target.id(),
+                        target.zone(),
+                        target.slots(),
+                        calls,
+                        CALL_NANOS,
+                        FIRST_EVENT_NANOS,
+                        false,
+                        0);
+        return rateLimits.isLimited(target.id())
+                ? load.withRateLimit(rateLimits.nanosUntilRequest(target.id(), clock.now()))
+                : load;
     }
 
     /** Reports an instance's calls to all other instances, each after the delay of a report. */
-    void report(String instance, String zone, LoadTracker ownTracker, boolean isFreed) {
+    void report(
+            String instance,
+            String zone,
+            LoadTracker ownTracker,
+            ModelRateLimits ownLimits,
+            boolean isFreed) {
         Map<String, TargetCalls> calls = new HashMap<>(ownTracker.ownCallsByTarget());
+        Map<String, AdmittedCount> requests = ownLimits.counts();
         gateways.stream()
                 .filter(each -> !each.name.equals(instance))
                 .forEach(
                         each ->
                                 clock.schedule(
                                         clock.now() + delay(zone, each.zone, isFreed),
-                                        () ->
-                                                each.loadTracker.onReport(
-                                                        instance, calls, clock.now())));
+                                        () -> each.onReport(instance, calls, requests)));
         workers.stream()
                 .filter(each -> !each.name().equals(instance))
                 .forEach(
                         each ->
                                 clock.schedule(
                                         clock.now() + delay(zone, each.zone(), isFreed),
-                                        () -> each.onReport(instance, calls)));
+                                        () -> each.onReport(instance, calls, requests)));
     }
 
     private static long delay(String fromZone, String toZone, boolean isFreed) {
@@ -225,6 +257,7 @@
         private final String name;
         private final String zone;
         private final LoadTracker loadTracker = newLoadTracker();
+        private final ModelRateLimits rateLimits = newRateLimits();
         private final RetryAfterSchedule retrySchedule = RetryAfterSchedule.create();
 
         Gateway(String name, String zone) {
@@ -232,6 +265,14 @@
             this.zone = zone;
         }
 
+        void onReport(
+                String instance,
+                Map<String, TargetCalls> calls,
+                Map<String, AdmittedCount> requests) {
+            loadTracker.onReport(instance, calls, clock.now());
+            rateLimits.onReport(instance, requests, clock.now());
+        }
+
         void onCall(Call call) {
             if (!call.isRetry()) {
                 result.onCall();
@@ -246,15 +287,15 @@
             Optional<TargetLoad> chosen =
                     policy.choose(
                             new ModelPolicy.PolicyInput(
-                                    loads(loadTracker),
-                                    exactLoads(),
-                                    loads(ownCalls),
+                                    loads(loadTracker, rateLimits),
+                                    exactLoads(rateLimits),
+                                    loads(ownCalls, rateLimits),
                                     zone,
                                     timeLimit,
                                     choiceCount++,
                                     random));
             if (chosen.isPresent()) {
-                send(call, target(chosen.get().id()));
+                place(call, chosen.get());
             } else {
                 refuse(call);
             }
@@ -266,8 +307,9 @@
                 return;
             }
             Duration left = CALL_DEADLINE.minusNanos(clock.now() - call.firstAttemptAt());
-            double slots = settings.targets() * settings.slots();
-            double perSecond = slots / CALL_NANOS * NANOS_PER_SECOND / settings.gateways();
+            double perSecond =
+                    targets.stream().mapToDouble(this::freedSlotsPerSecond).sum()
+                            / settings.gateways();
             Duration retryAfter =
                     retrySchedule.nextRetryAfter(
                             Duration.ZERO,
@@ -280,6 +322,20 @@
             clock.schedule(clock.now() + retryAfter.toNanos(), () -> other.onCall(retry));
         }
 
+        private double freedSlotsPerSecond(ModelTarget target) {
+            double freed = (double) target.slots() / CALL_NANOS * NANOS_PER_SECOND;
+            return rateLimits.isLimited(target.id())
+                    ? Math.min(freed, settings.targetRequestsPerSecond())
+                    : freed;
+        }
+
+        private void place(Call call, TargetLoad load) {
+            rateLimits.onRequest(load.id(), clock.now());
+            report(name, zone, loadTracker, rateLimits, false);
+            clock.schedule(
+                    clock.now() + load.sendDelayNanos(), () -> send(call, target(load.id())));
+        }
+
         private void send(Call call, ModelTarget target) {
             long sentAt = clock.now();
             changeCalls(target, 1);
@@ -319,7 +375,7 @@
 
         private void changeCalls(ModelTarget target, int change) {
             loadTracker.onOwnCallsChanged(target.id(), new TargetCalls(change, 0));
-            report(name, zone, loadTracker, change < 0);
+            report(name, zone, loadTracker, rateLimits, change < 0);
         }
     }
 }
--- a/bench/src/main/java/org/sardinelift/bench/model/ModelSettings.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/ModelSettings.java
@@ -17,6 +17,8 @@
  * @param lowDuration length of a low step
  * @param highDuration length of a high step
  * @param duration length of the run
+ * @param limitedTargets targets that limit the rate of their requests
+ * @param targetRequestsPerSecond their limit
  * @param seed seed of arrivals and sizes
  */
 public record ModelSettings(
@@ -32,6 +34,8 @@
         Duration lowDuration,
         Duration highDuration,
         Duration duration,
+        int limitedTargets,
+        double targetRequestsPerSecond,
         long seed) {
 
     /**
@@ -56,6 +60,8 @@
                 Duration.ofMillis(3_400),
                 Duration.ofMillis(2_400),
                 Duration.ofSeconds(60),
+                0,
+                0,
                 seed);
     }
 
@@ -79,6 +85,8 @@
                 lowDuration,
                 highDuration,
                 duration,
+                limitedTargets,
+                targetRequestsPerSecond,
                 seed);
     }
 
@@ -101,6 +109,34 @@
                 lowDuration,
                 highDuration,
                 duration,
+                limitedTargets,
+                targetRequestsPerSecond,
+                seed);
+    }
+
+    /**
+     * Returns these settings with targets that limit the rate of their requests.
+     *
+     * @param count number of these targets
+     * @param requestsPerSecond requests that each takes from all instances together
+     * @return the settings
+     */
+    public ModelSettings withLimitedTargets(int count, double requestsPerSecond) {
+        return new ModelSettings(
+                zones,
+                gatewaysPerZone,
+                targetsPerZone,
+                slots,
+                callsPerSecond,
+                jobsPerSecond,
+                itemsPerJob,
+                lowFactor,
+                highFactor,
+                lowDuration,
+                highDuration,
+                duration,
+                count,
+                requestsPerSecond,
                 seed);
     }
 
--- a/bench/src/main/java/org/sardinelift/bench/model/ModelWorker.java
+++ b/bench/src/main/java/org/sardinelift/bench/model/ModelWorker.java
@@ -19,6 +19,7 @@
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.load.TargetLoad;
+import org.sardinelift.core.quota.AdmittedCount;
 
 /** A simulated worker: runs the items of its jobs with the product's own decisions. */
 final class ModelWorker {
@@ -30,6 +31,7 @@
     private final String zone;
     private final LoadModel model;
     private final LoadTracker loadTracker = LoadModel.newLoadTracker();
+    private final ModelRateLimits rateLimits;
     private final BatchSlotSelector slots;
     private final ItemSchedule schedule =
             ItemSchedule.of(TYPICAL_EVENTS, Duration.ofMillis(27), Duration.ofMillis(400));
@@ -44,6 +46,7 @@
         this.name = name;
         this.zone = zone;
         this.model = model;
+        this.rateLimits = model.newRateLimits();
         this.slots =
                 BatchSlotSelector.of(
                         zone, Duration.ofMillis(40), Duration.ofMillis(150), Duration.ofMillis(6));
@@ -78,14 +81,16 @@
         jobs.add(JobProgress.of(new JobSpec(id, "team", "route", "host", nowMs(), items)));
     }
 
-    void onReport(String instance, Map<String, TargetCalls> calls) {
+    void onReport(
+            String instance, Map<String, TargetCalls> calls, Map<String, AdmittedCount> requests) {
         loadTracker.onReport(instance, calls, model.clock().now());
+        rateLimits.onReport(instance, requests, model.clock().now());
         observe();
         preemptExcess();
     }
 
     private void observe() {
-        slots.observe(model.loads(loadTracker), model.clock().now());
+        slots.observe(model.loads(loadTracker, rateLimits), model.clock().now());
     }
 
     private void startItems() {
@@ -94,7 +99,7 @@
         long now = model.clock().now();
         boolean hasNext = true;
         while (hasNext) {
-            Optional<TargetLoad> slot = slots.select(model.loads(loadTracker), now);
+            Optional<TargetLoad> slot = slots.select(model.loads(loadTracker, rateLimits), now);
             Optional<ItemSchedule.ScheduledItem> next =
                     slot.isEmpty() ? Optional.empty() : schedule.selectNext(items(), now, nowMs());
             hasNext = next.isPresent();
@@ -118,6 +123,7 @@
 
     private void startItem(ItemSchedule.ScheduledItem scheduled, ModelTarget target) {
         long startedAt = model.clock().now();
+        rateLimits.onRequest(target.id(), startedAt);
         slots.onItemStarted(target.id(), startedAt);
         scheduled.item().setRunning(true);
         changeCalls(target, 1);
@@ -182,7 +188,7 @@
 
     private void changeCalls(ModelTarget target, int change) {
         loadTracker.onOwnCallsChanged(target.id(), new TargetCalls(0, change));
-        model.report(name, zone, loadTracker, change < 0);
+        model.report(name, zone, loadTracker, rateLimits, change < 0);
     }
 
     private long nowMs() {
--- a/bench/src/test/java/org/sardinelift/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/sardinelift/bench/model/LoadModelTest.java
@@ -118,6 +118,28 @@
         assertTrue(inTime >= 0.8 * (inTime + late), "in time " + inTime + ", late " + late);
     }
 
+    /**
+     * Two of three targets take half of their usual requests, but have free slots. A request is
+     * better used for an item, which runs for seconds, while the other targets run calls.
+     */
+    @Test
+    void withLimitedTargetsItemsAreInTimeAndCallsAreServed() {
+        double items =
+                mean(
+                        LoadModelTest::withLimitedTargets,
+                        ModelPolicy.PRODUCT,
+                        ModelResult::itemsInTime);
+        double served =
+                mean(LoadModelTest::withLimitedTargets, ModelPolicy.PRODUCT, LoadModelTest::served);
+
+        assertTrue(items >= 0.9, "items in time " + items);
+        assertTrue(served >= 0.85, "calls served " + served);
+    }
+
+    private static ModelSettings withLimitedTargets(long seed) {
+        return ModelSettings.small(1, seed).withLimitedTargets(4, 3);
+    }
+
     @Test
     void everyCallIsCountedOnce() {
         ModelResult result = LoadModel.simulate(ModelSettings.small(1.6, 7), ModelPolicy.PRODUCT);
--- a/core/src/main/java/org/sardinelift/core/load/BatchSlotSelector.java
+++ b/core/src/main/java/org/sardinelift/core/load/BatchSlotSelector.java
@@ -17,7 +17,9 @@
  * item started there is preempted before it has done any work; several workers also see the same
  * free slot. A slot is therefore used only when its target has had a free one for a while, which is
  * shorter for workers in the target's zone than for others, and a worker starts one item at a time
- * on a target. Times are nanoseconds of a monotonic clock. Not thread-safe.
+ * on a target. Targets that limit the rate of their requests are preferred: an item uses one
+ * request for a run of seconds, and few online calls come there to preempt it. Times are
+ * nanoseconds of a monotonic clock. Not thread-safe.
  */
 public final class BatchSlotSelector {
     private final String zone;
@@ -72,15 +74,16 @@
      *
      * @param loads loads of the targets that may run the item
      * @param now the time
-     * @return the target with the most free slots, preferably in the worker's zone; empty if no
-     *     target has a usable slot
+     * @return the target with the most free slots, preferably one that limits its rate, then one in
+     *     the worker's zone; empty if no target has a usable slot
      */
     public Optional<TargetLoad> select(List<TargetLoad> loads, long now) {
         return loads.stream()
                 .filter(load -> load.isFree() && hasSettled(load, now))
                 .filter(load -> !startedAt.containsKey(load.id()))
                 .max(
-                        Comparator.comparing((TargetLoad load) -> isInZone(load))
+                        Comparator.comparing(TargetLoad::isRateLimited)
+                                .thenComparing(this::isInZone)
                                 .thenComparingInt(TargetLoad::freeSlots));
     }
 
--- a/core/src/main/java/org/sardinelift/core/load/Placement.java
+++ b/core/src/main/java/org/sardinelift/core/load/Placement.java
@@ -11,10 +11,15 @@
  *
  * <p>Steps of traffic fill every slot for seconds. A call is sent where its first event is expected
  * within its objective: to a free slot, else to a slot from which a batch item is preempted, else
- * to the shortest queue (join the shortest queue, by expected wait). A target whose rate limit
- * allows no request now has a queue, however many of its slots are free. If no target can meet the
+ * to the shortest queue (join the shortest queue, by expected wait). If no target can meet the
  * objective, the call is refused, since it would also take the slot of a call that can be in time.
- * A caller that returns after a refusal may wait longer than others, so that no call is refused
+ *
+ * <p>A target that limits the rate of its requests is used only when calls hold all slots of the
+ * others. Its few requests serve more in a peak of calls, or for batch items, which run for
+ * seconds: an item that is preempted elsewhere can go on there undisturbed. While its limit allows
+ * no request it has a queue, however many of its slots are free.
+ *
+ * <p>A caller that returns after a refusal may wait longer than others, so that no call is refused
  * twice while there is any capacity.
  */
 public final class Placement {
@@ -70,7 +75,11 @@
         long budget = left.minus(margin).toNanos();
         List<TargetLoad> inTime =
                 matching(targets, target -> target.expectedFirstEventNanos() <= budget);
-        return leastUtilized(matching(inTime, target -> target.isFree() && isInZone(target)), draw)
+        List<TargetLoad> unlimited = matching(inTime, target -> !target.isRateLimited());
+        List<TargetLoad> free = matching(unlimited, TargetLoad::isFree);
+        return leastUtilized(matching(free, this::isInZone), draw)
+                .or(() -> leastUtilized(free, draw))
+                .or(() -> leastUtilized(matching(unlimited, TargetLoad::isFreeForOnline), draw))
                 .or(() -> leastUtilized(matching(inTime, TargetLoad::isFree), draw))
                 .or(() -> leastUtilized(matching(inTime, TargetLoad::isFreeForOnline), draw))
                 .or(() -> earliestFirstEvent(inTime, draw))
--- a/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
@@ -10,7 +10,8 @@
  * @param callNanos time that a call occupies a slot, nanoseconds
  * @param timeToFirstEventNanos time from sending a call to its first event if a slot is free,
  *     nanoseconds
- * @param sendDelayNanos time until the target's rate limit allows another request, nanoseconds
+ * @param isRateLimited whether the target limits the rate of its requests
+ * @param sendDelayNanos time until that limit allows another request, nanoseconds
  */
 public record TargetLoad(
         String id,
@@ -19,16 +20,18 @@
         TargetCalls calls,
         long callNanos,
         long timeToFirstEventNanos,
+        boolean isRateLimited,
         long sendDelayNanos) {
 
     /**
-     * Returns the load with another delay until a request may be sent.
+     * Returns the load of a target that limits the rate of its requests.
      *
-     * @param nanos the delay, nanoseconds
+     * @param delayNanos time until the limit allows another request, nanoseconds
      * @return the load
      */
-    public TargetLoad withSendDelay(long nanos) {
-        return new TargetLoad(id, zone, slots, calls, callNanos, timeToFirstEventNanos, nanos);
+    public TargetLoad withRateLimit(long delayNanos) {
+        return new TargetLoad(
+                id, zone, slots, calls, callNanos, timeToFirstEventNanos, true, delayNanos);
     }
 
     /**
--- a/core/src/test/java/org/sardinelift/core/load/BatchSlotSelectorTest.java
+++ b/core/src/test/java/org/sardinelift/core/load/BatchSlotSelectorTest.java
@@ -16,7 +16,8 @@
                     "near", Duration.ofMillis(40), Duration.ofMillis(150), Duration.ofMillis(6));
 
     private static TargetLoad target(String id, String zone, int calls) {
-        return new TargetLoad(id, zone, 8, new TargetCalls(calls, 0), 750 * MILLI, 50 * MILLI, 0);
+        return new TargetLoad(
+                id, zone, 8, new TargetCalls(calls, 0), 750 * MILLI, 50 * MILLI, false, 0);
     }
 
     private String selected(long ms, TargetLoad... targets) {
@@ -65,11 +66,19 @@
 
     @Test
     void aSlotWhoseTargetIsAtItsRateLimitIsNotFree() {
-        TargetLoad limited = target("a", "near", 0).withSendDelay(5 * MILLI);
+        TargetLoad limited = target("a", "near", 0).withRateLimit(5 * MILLI);
 
         assertEquals("none", selected(0, limited));
         assertEquals("none", selected(100, limited));
         assertEquals("none", selected(105, target("a", "near", 0)));
         assertEquals("a", selected(145, target("a", "near", 0)));
     }
+
+    @Test
+    void prefersATargetThatLimitsItsRequests() {
+        TargetLoad limited = target("a", "far", 6).withRateLimit(0);
+
+        selected(0, limited, target("b", "near", 0));
+        assertEquals("a", selected(150, limited, target("b", "near", 0)));
+    }
 }
--- a/core/src/test/java/org/sardinelift/core/load/PlacementTest.java
+++ b/core/src/test/java/org/sardinelift/core/load/PlacementTest.java
@@ -19,7 +19,7 @@
 
     private static TargetLoad target(String id, String zone, int online, int batch) {
         return new TargetLoad(
-                id, zone, 8, new TargetCalls(online, batch), 800 * MILLI, 50 * MILLI, 0);
+                id, zone, 8, new TargetCalls(online, batch), 800 * MILLI, 50 * MILLI, false, 0);
     }
 
     private String chosen(TargetLoad... targets) {
@@ -56,7 +56,14 @@
     void avoidsASlowTargetWhoseSlotIsFree() {
         TargetLoad slow =
                 new TargetLoad(
-                        "a", "near", 8, new TargetCalls(2, 0), 4_000 * MILLI, 250 * MILLI, 0);
+                        "a",
+                        "near",
+                        8,
+                        new TargetCalls(2, 0),
+                        4_000 * MILLI,
+                        250 * MILLI,
+                        false,
+                        0);
 
         assertEquals("b", chosen(slow, target("b", "near", 3, 0)));
     }
@@ -110,6 +117,7 @@
                 TargetCalls.NONE,
                 health.callNanos(),
                 health.timeToFirstEventNanos(),
+                false,
                 0);
     }
 
@@ -154,15 +162,24 @@
     /** At its limit it has free slots, but is no choice while another target can run the call. */
     @Test
     void aTargetWhoseRateLimitAllowsNoRequestNowIsNotPreferred() {
-        TargetLoad limited = target("a", "near", 0, 0).withSendDelay(100 * MILLI);
+        TargetLoad limited = target("a", "near", 0, 0).withRateLimit(100 * MILLI);
 
         assertEquals("b", chosen(limited, target("b", "far", 7, 0)));
         assertEquals("a", chosen(limited, target("b", "far", 16, 0)));
     }
 
+    @Test
+    void aRateLimitedTargetIsKeptForWhenCallsHoldAllOtherSlots() {
+        TargetLoad limited = target("a", "near", 0, 0).withRateLimit(0);
+
+        assertEquals("b", chosen(limited, target("b", "far", 7, 0)));
+        assertEquals("b", chosen(limited, target("b", "near", 7, 1)));
+        assertEquals("a", chosen(limited, target("b", "near", 8, 0)));
+    }
+
     @Test
     void aCallIsRefusedIfNoRateLimitAllowsItInTime() {
-        TargetLoad limited = target("a", "near", 0, 0).withSendDelay(900 * MILLI);
+        TargetLoad limited = target("a", "near", 0, 0).withRateLimit(900 * MILLI);
 
         Choice choice = placement.choose(List.of(limited), OBJECTIVE, 7);
 
@@ -175,7 +192,7 @@
     void aTargetWhoseRateLimitAllowsNoRequestIsNotMeasured() {
         assertTrue(
                 placement
-                        .chooseToMeasure(List.of(target("a", "near", 0, 0).withSendDelay(MILLI)), 7)
+                        .chooseToMeasure(List.of(target("a", "near", 0, 0).withRateLimit(MILLI)), 7)
                         .isEmpty());
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -138,7 +138,7 @@
                                 limit.getAsDouble(),
                                 context.network().fleetCallsPerSecond(),
                                 call.id().hashCode() ^ arrivedAt);
-        return isOffered ? load : load.withSendDelay(NOT_OFFERED_DELAY_NANOS);
+        return isOffered ? load : load.withRateLimit(NOT_OFFERED_DELAY_NANOS);
     }
 
     private List<TargetLoad> withoutOwnCalls(List<TargetLoad> loads) {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -307,14 +307,20 @@
      * @return its load
      */
     public TargetLoad load(Target target, long now) {
-        return new TargetLoad(
-                target.id(),
-                target.registration.zone(),
-                target.registration.slots(),
-                loadTracker.knownCalls(target.id(), now),
-                target.health.callNanos(),
-                target.health.timeToFirstEventNanos(),
-                rateLimits.nanosUntilRequest(target.registration.incarnation(), now));
+        TargetLoad load =
+                new TargetLoad(
+                        target.id(),
+                        target.registration.zone(),
+                        target.registration.slots(),
+                        loadTracker.knownCalls(target.id(), now),
+                        target.health.callNanos(),
+                        target.health.timeToFirstEventNanos(),
+                        false,
+                        0);
+        return rateLimit(target).isEmpty()
+                ? load
+                : load.withRateLimit(
+                        rateLimits.nanosUntilRequest(target.registration.incarnation(), now));
     }
 
     /**
