Keep refused crash causes in the store, so that they outlast a stop of all instances

Cause: the evidence was in the memory of instances only.

Change: the instance that sees the death after which a trait is refused writes the trait to the store, an answer that clears it deletes it, and each instance reads all at its start. One store call a refused trait, one list a start.

--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -11,12 +11,15 @@
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.core.poison.RefusedTrait;
 import org.sardinelift.gateway.call.TargetTable;
+import org.sardinelift.gateway.feed.CrashCauseFeed;
 import org.sardinelift.gateway.feed.InstanceFeed;
 import org.sardinelift.gateway.feed.PeerSnapshots;
 import org.sardinelift.gateway.feed.PlanFeed;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.gateway.feed.TargetFeed;
+import org.sardinelift.gateway.peer.CrashReports;
 import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.http.HttpExchange;
@@ -64,6 +67,7 @@
     private final PeerNetwork network;
     private final PeerSnapshots snapshots;
     private final InstanceFeed instances;
+    private final CrashCauseFeed crashCauses;
     private Listener listener = new Listener() {};
 
     /** Is notified of what the feeds have read, on the event loop. */
@@ -123,6 +127,28 @@
                                         () ->
                                                 network.onInstanceRegistered(
                                                         name, peerRole, address)));
+        this.crashCauses =
+                CrashCauseFeed.of(
+                        store,
+                        control,
+                        storeAvailability,
+                        trait -> loop.execute(() -> network.crashes().onStoredTrait(trait)));
+    }
+
+    private void storeRefusedTraits() {
+        network.crashes()
+                .setRefusalListener(
+                        new CrashReports.RefusalListener() {
+                            @Override
+                            public void onRefused(RefusedTrait trait) {
+                                crashCauses.onRefused(trait);
+                            }
+
+                            @Override
+                            public void onCleared(long trait) {
+                                crashCauses.onCleared(trait);
+                            }
+                        });
     }
 
     static Node create(NodeSettings settings, PeerRole role, PlatformAdapter adapter)
@@ -178,6 +204,8 @@
         plans.start();
         targets.start();
         instances.start();
+        storeRefusedTraits();
+        crashCauses.start();
         snapshots.start();
         network.start();
         control.scheduleRepeatedly(STORE_CALL_LOG_INTERVAL, this::logStoreCalls);
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/CrashReports.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/CrashReports.java
@@ -2,15 +2,17 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.sardinelift.core.poison.CrashCauseLedger;
 import org.sardinelift.core.poison.CrashJudgement;
+import org.sardinelift.core.poison.RefusedTrait;
 import org.sardinelift.core.poison.RequestTraits;
 import org.sardinelift.protocol.generated.PeerReport;
-import org.sardinelift.protocol.generated.RefusedTrait;
 import org.sardinelift.protocol.generated.TargetDeath;
 import org.sardinelift.runtime.log.LogEvent;
 
@@ -25,14 +27,34 @@
 
     private static final int MAX_TRAITS = 10_000;
     private static final String OWN = "own";
+    private static final String STORE = "store";
 
     private final String instance;
     private final Runnable onChange;
     private final CrashCauseLedger ledger;
+    private final Set<Long> refusedTraits = new HashSet<>();
+    private RefusalListener refusalListener = new RefusalListener() {};
     private final Map<TargetDeath, Long> deaths = new LinkedHashMap<>();
     private final Map<Long, Long> soundTraits = new LinkedHashMap<>();
     private final Map<Long, Long> claimedTrials = new LinkedHashMap<>();
 
+    /** Is notified of traits whose requests are refused, on the event loop. */
+    public interface RefusalListener {
+        /**
+         * A death that this instance saw is the one after which a trait is refused.
+         *
+         * @param trait the trait
+         */
+        default void onRefused(RefusedTrait trait) {}
+
+        /**
+         * An answer that this instance received has cleared a refused trait.
+         *
+         * @param trait hash of the trait
+         */
+        default void onCleared(long trait) {}
+    }
+
     /**
      * Creates the state of an instance without evidence.
      *
@@ -45,6 +67,24 @@
         this.ledger = CrashCauseLedger.create(instance, MAX_TRAITS);
     }
 
+    /**
+     * Sets the listener that is notified of refused traits.
+     *
+     * @param listener the listener
+     */
+    public void setRefusalListener(RefusalListener listener) {
+        refusalListener = listener;
+    }
+
+    /**
+     * Takes over a refused trait that was kept in the store.
+     *
+     * @param trait the trait
+     */
+    public void onStoredTrait(RefusedTrait trait) {
+        learn(trait, STORE, System.nanoTime());
+    }
+
     /**
      * Decides whether a request may be sent to targets.
      *
@@ -77,6 +117,14 @@
         death.setParts(traits.parts().stream().filter(suspected::contains).toList());
         deaths.put(death, System.nanoTime());
         onChange.run();
+        newlyRefused().forEach(refusalListener::onRefused);
+    }
+
+    /** Returns the traits that are refused now and were not the last time. */
+    private List<RefusedTrait> newlyRefused() {
+        return ledger.refusedTraits(System.nanoTime()).stream()
+                .filter(trait -> refusedTraits.add(trait.trait()))
+                .toList();
     }
 
     private List<Long> recordDeath(RequestTraits traits, String target, String source) {
@@ -101,6 +149,7 @@
         List<Long> cleared = ledger.onCompleted(traits, System.nanoTime());
         if (!cleared.isEmpty()) {
             cleared.forEach(trait -> logCleared(trait, OWN));
+            cleared.stream().filter(refusedTraits::remove).forEach(refusalListener::onCleared);
             reportSound(cleared);
         }
     }
@@ -171,14 +220,18 @@
         if (report.isSetSoundTraits()) {
             report.getSoundTraits().stream()
                     .filter(ledger::onSound)
-                    .forEach(trait -> logCleared(trait, source));
+                    .forEach(
+                            trait -> {
+                                refusedTraits.remove(trait);
+                                logCleared(trait, source);
+                            });
         }
         long now = System.nanoTime();
         if (report.isSetTrialTraits()) {
             report.getTrialTraits().forEach(trait -> ledger.onTrialClaim(trait, source, now));
         }
         if (report.isSetRefusedTraits()) {
-            report.getRefusedTraits().forEach(refused -> onReportedRefusal(refused, source, now));
+            report.getRefusedTraits().forEach(refused -> learn(fromReport(refused), source, now));
         }
     }
 
@@ -186,25 +239,28 @@
         List<Long> parts = death.isSetParts() ? death.getParts() : List.of();
         RequestTraits traits = new RequestTraits(death.getRequest(), parts);
         recordDeath(traits, death.getTarget(), source);
+        // The instance that saw the death stores what is refused for it.
+        newlyRefused();
         List<Long> sound = ledger.selectSound(traits, System.nanoTime());
         if (!soundTraits.keySet().containsAll(sound)) {
             reportSound(sound);
         }
     }
 
-    private void onReportedRefusal(RefusedTrait refused, String source, long now) {
-        if (ledger.onRefusedTrait(fromReport(refused), now)) {
+    private void learn(RefusedTrait refused, String source, long now) {
+        if (ledger.onRefusedTrait(refused, now)) {
+            refusedTraits.add(refused.trait());
             LogEvent.of("crash_cause.learned")
-                    .with("trait", Long.toHexString(refused.getTrait()))
-                    .with("deaths", refused.getDeaths().size())
-                    .with("age_ms", refused.getAgeMs())
+                    .with("trait", Long.toHexString(refused.trait()))
+                    .with("deaths", refused.deaths().size())
+                    .with("age_ms", TimeUnit.NANOSECONDS.toMillis(refused.evidenceAgeNanos()))
                     .with("source", source)
                     .info();
         }
     }
 
-    private static RefusedTrait toReport(org.sardinelift.core.poison.RefusedTrait trait) {
-        return new RefusedTrait(
+    private static org.sardinelift.protocol.generated.RefusedTrait toReport(RefusedTrait trait) {
+        return new org.sardinelift.protocol.generated.RefusedTrait(
                 trait.trait(),
                 trait.isPart(),
                 trait.deaths(),
@@ -212,8 +268,8 @@
                 TimeUnit.NANOSECONDS.toMillis(trait.evidenceAgeNanos()));
     }
 
-    private static org.sardinelift.core.poison.RefusedTrait fromReport(RefusedTrait trait) {
-        return new org.sardinelift.core.poison.RefusedTrait(
+    private static RefusedTrait fromReport(org.sardinelift.protocol.generated.RefusedTrait trait) {
+        return new RefusedTrait(
                 trait.getTrait(),
                 trait.isPart(),
                 trait.getDeaths(),
