Move the reports of rate limits into a class of their own

PeerNetwork and ReportBuilder held them beside all else. The incarnation's name of a target is built once, so that a call to targets without limits costs no more than before. No decision changes.

--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -59,7 +59,7 @@
         this.targetTable =
                 TargetTable.create(
                         node.network().targetLoads(),
-                        node.network().rateLimits(),
+                        node.network().rateLimits().limits(),
                         targetClient,
                         node.loop(),
                         adapter.probePath(),
--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -40,7 +40,7 @@
         TargetTable targetTable =
                 TargetTable.create(
                         node.network().targetLoads(),
-                        node.network().rateLimits(),
+                        node.network().rateLimits().limits(),
                         targetClient,
                         node.loop(),
                         adapter.probePath(),
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -97,7 +97,7 @@
         if (call.earlierWait().isZero()) {
             context.retryTimes().onNewCall(arrivedAt);
         }
-        context.network().onCallArrived(arrivedAt);
+        context.network().rateLimits().onCallArrived(arrivedAt);
         exchange.addCloseListener(this::onCallerDisconnected);
         long left = timeLeft(context.now()).toNanos();
         timeout = context.loop().schedule(this::onTimeout, left, TimeUnit.NANOSECONDS);
@@ -126,19 +126,25 @@
         }
     }
 
-    /** A call that was sent before is offered all targets. */
     private TargetLoad delayUnlessOffered(TargetLoad load) {
+        return load.isRateLimited() && !isOffered(load)
+                ? load.withRateLimit(NOT_OFFERED_DELAY_NANOS)
+                : load;
+    }
+
+    /**
+     * Whether the call may choose a rate-limited target; one that was sent before may choose all.
+     */
+    private boolean isOffered(TargetLoad load) {
         Target target = context.targets().find(load.id()).orElseThrow();
         OptionalDouble limit = context.targets().rateLimit(target);
-        boolean isOffered =
-                limit.isEmpty()
-                        || sends > 0
-                        || RateLimitedTargetSample.includes(
-                                load.id(),
-                                limit.getAsDouble(),
-                                context.network().fleetCallsPerSecond(),
-                                call.id().hashCode() ^ arrivedAt);
-        return isOffered ? load : load.withRateLimit(NOT_OFFERED_DELAY_NANOS);
+        return sends > 0
+                || limit.isEmpty()
+                || RateLimitedTargetSample.includes(
+                        load.id(),
+                        limit.getAsDouble(),
+                        context.network().rateLimits().fleetCallsPerSecond(),
+                        call.id().hashCode() ^ arrivedAt);
     }
 
     private List<TargetLoad> withoutOwnCalls(List<TargetLoad> loads) {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -71,15 +71,17 @@
 
     /** A target with its registration and health. */
     public static final class Target {
-        private RegisteredTarget registration;
+        private final String incarnation;
         private final TargetHealth health;
         private final Map<RequestTraits, Long> brokenAt = new HashMap<>();
+        private RegisteredTarget registration;
         private boolean isMisdirected;
         private boolean isProbePending;
         private long requests;
         private long lastBytesAt;
 
         private Target(RegisteredTarget entry, TargetHealth health) {
+            this.incarnation = entry.incarnation();
             this.registration = entry;
             this.health = health;
         }
@@ -319,8 +321,7 @@
                         0);
         return rateLimit(target).isEmpty()
                 ? load
-                : load.withRateLimit(
-                        rateLimits.nanosUntilRequest(target.registration.incarnation(), now));
+                : load.withRateLimit(rateLimits.nanosUntilRequest(target.incarnation, now));
     }
 
     /**
@@ -352,11 +353,12 @@
      * @return whether the target's limit has changed, which other instances need to know
      */
     public boolean onStatedRate(Target target, StatedRate stated, long sentAt) {
-        String incarnation = target.registration.incarnation();
         Optional<TargetRateLimits.Change> change =
-                rateLimits.onResponse(incarnation, stated, sentAt, System.nanoTime());
+                rateLimits.onResponse(target.incarnation, stated, sentAt, System.nanoTime());
         change.ifPresent(
-                each -> RateLimitLog.logChange(incarnation, each, "response", target.requests));
+                each ->
+                        RateLimitLog.logChange(
+                                target.incarnation, each, "response", target.requests));
         return change.isPresent();
     }
 
@@ -367,7 +369,7 @@
      */
     public void onRequest(Target target) {
         target.requests++;
-        rateLimits.onRequest(target.registration.incarnation(), System.nanoTime());
+        rateLimits.onRequest(target.incarnation, System.nanoTime());
     }
 
     /**
@@ -377,7 +379,7 @@
      * @return requests per second over all instances, empty if it states none
      */
     public OptionalDouble rateLimit(Target target) {
-        return rateLimits.limit(target.registration.incarnation());
+        return rateLimits.limit(target.incarnation);
     }
 
     /**
@@ -479,7 +481,7 @@
     private void probe(Target target) {
         long now = System.nanoTime();
         boolean isRegistered = targets.get(target.id()) == target;
-        long delay = rateLimits.nanosUntilRequest(target.registration.incarnation(), now);
+        long delay = rateLimits.nanosUntilRequest(target.incarnation, now);
         if (isRegistered && delay > 0) {
             loop.schedule(() -> probe(target), delay, TimeUnit.NANOSECONDS);
             return;
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -7,12 +7,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -21,7 +19,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
-import org.sardinelift.core.load.CallRate;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.peer.Peer;
@@ -30,11 +27,9 @@
 import org.sardinelift.core.quota.AdmittedCount;
 import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.core.quota.QuotaBounds;
-import org.sardinelift.core.quota.TargetRateLimits;
 import org.sardinelift.gateway.Endpoint;
 import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.protocol.ReportChannel;
-import org.sardinelift.protocol.generated.LimitedTarget;
 import org.sardinelift.protocol.generated.PeerAddress;
 import org.sardinelift.protocol.generated.PeerReport;
 import org.sardinelift.protocol.generated.TargetUse;
@@ -80,8 +75,6 @@
     /** Wall-clock time ahead of the monotonic clock that shows that the process was suspended. */
     private static final Duration MIN_PROCESS_PAUSE = Duration.ofMillis(400);
 
-    private static final Duration CALL_RATE_WINDOW = Duration.ofSeconds(1);
-
     /** Two watches; older confirmations of the configuration by a peer are not relied on. */
     private static final Duration MAX_PLAN_READ_AGE = Duration.ofMillis(2_200);
 
@@ -96,14 +89,8 @@
     private final FleetQuota quota =
             FleetQuota.create(
                     new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE), System.nanoTime());
-    private final FleetQuota targetQuota =
-            FleetQuota.create(
-                    new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE), System.nanoTime());
-    private final TargetRateLimits rateLimits =
-            TargetRateLimits.create(targetQuota, ReportBuilder.CHANGE_REPEAT_PERIOD);
-    private final CallRate ownCalls = CallRate.averagedOver(CALL_RATE_WINDOW);
-    private final Map<String, Double> callsPerSecondOfPeers = new HashMap<>();
-    private double fleetCallsPerSecond;
+    private final RateLimitReports rateLimits =
+            new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final CrashReports crashes;
     private final ReportBuilder reportBuilder;
     private final ReportRelay relay;
@@ -182,7 +169,6 @@
                         targetLoads,
                         quota,
                         rateLimits,
-                        ownCalls,
                         crashes);
         this.relay = new ReportRelay(settings, role, peers, loop, this::sendRelayed);
         this.channel =
@@ -267,30 +253,12 @@
     /**
      * The limits that targets state on the rate of their requests.
      *
-     * @return the limits
+     * @return the limits, kept equal with the other instances
      */
-    public TargetRateLimits rateLimits() {
+    public RateLimitReports rateLimits() {
         return rateLimits;
     }
 
-    /**
-     * A call of a caller arrived here.
-     *
-     * @param now the time, nanoseconds
-     */
-    public void onCallArrived(long now) {
-        ownCalls.onCall(now);
-    }
-
-    /**
-     * Rate at which calls arrive at all live instances.
-     *
-     * @return calls per second, at most a tick old
-     */
-    public double fleetCallsPerSecond() {
-        return fleetCallsPerSecond;
-    }
-
     /**
      * What is known of requests that crash targets.
      *
@@ -362,7 +330,7 @@
         if (peerRole == PeerRole.GATEWAY) {
             quota.onPeerAdded(name, now);
         }
-        targetQuota.onPeerAdded(name, now);
+        rateLimits.onPeerAdded(name, now);
         if (peers.onAddress(name, address.host(), address.port(), now)) {
             introduceTo(address.host(), address.port());
         }
@@ -389,13 +357,11 @@
         detectProcessPause(now);
         updateStoreReaders(now);
         quota.detectSilentPeers(now);
-        targetQuota.detectSilentPeers(now);
-        updateFleetCalls(now);
+        rateLimits.tick(peers.all().stream().filter(peer -> peers.isLive(peer, now)).toList(), now);
         targetLoads.expire(now);
         for (String gone : peers.removeSilent(now)) {
             quota.onPeerRemoved(gone);
-            targetQuota.onPeerRemoved(gone);
-            callsPerSecondOfPeers.remove(gone);
+            rateLimits.onPeerRemoved(gone);
             LogEvent.of("peer.forgotten").with("peer", gone).info();
         }
         detectLostPeers(now);
@@ -410,18 +376,6 @@
         listeners.forEach(Listener::onLoadsUpdated);
     }
 
-    private void updateFleetCalls(long now) {
-        fleetCallsPerSecond =
-                ownCalls.perSecond(now)
-                        + peers.all().stream()
-                                .filter(peer -> peers.isLive(peer, now))
-                                .mapToDouble(
-                                        peer ->
-                                                callsPerSecondOfPeers.getOrDefault(
-                                                        peer.name(), 0.0))
-                                .sum();
-    }
-
     private void updateStoreReaders(long now) {
         String zone = settings.zone();
         isPlanReadByOther = peers.isReadByOther(zone, Peer::planReadAt, MAX_PLAN_READ_AGE, now);
@@ -454,7 +408,7 @@
         long pauseMs = wallClockMs - lastWallClockMs - monotonicMs;
         if (pauseMs > MIN_PROCESS_PAUSE.toMillis()) {
             quota.onPause(now);
-            targetQuota.onPause(now);
+            rateLimits.onPause(now);
             LogEvent.of("process.paused").with("standstill_ms", pauseMs).warn();
         }
         lastWallClockMs = wallClockMs;
@@ -567,8 +521,7 @@
         if (peer.role() == PeerRole.GATEWAY) {
             onTeamCounts(peer, report, now);
         }
-        onLimitedTargets(peer, report, now);
-        callsPerSecondOfPeers.put(peer.name(), report.getCallsPerSecond());
+        rateLimits.onReport(peer, report, now);
         if (hasJoined || report.isIntroduce()) {
             introduceTo(peer.host(), peer.port());
         }
@@ -598,44 +551,6 @@
         quota.onReport(peer.name(), peer.incarnation(), ageNanos, counts, now);
     }
 
-    private void onLimitedTargets(Peer peer, PeerReport report, long now) {
-        List<LimitedTarget> targets =
-                report.isSetLimitedTargets() ? report.getLimitedTargets() : List.of();
-        targets.stream()
-                .filter(LimitedTarget::isSetAgeMs)
-                .forEach(target -> onStatedRate(peer, target, now));
-        Map<String, AdmittedCount> counts =
-                targets.stream()
-                        .filter(target -> target.getSent() > 0)
-                        .collect(
-                                Collectors.toMap(
-                                        LimitedTarget::getTarget,
-                                        PeerNetwork::toAdmittedCount,
-                                        (first, second) -> second));
-        long ageNanos = TimeUnit.MILLISECONDS.toNanos(report.getAgeMs());
-        targetQuota.onReport(peer.name(), peer.incarnation(), ageNanos, counts, now);
-    }
-
-    private void onStatedRate(Peer peer, LimitedTarget target, long now) {
-        OptionalDouble perSecond =
-                target.isSetPerSecond()
-                        ? OptionalDouble.of(target.getPerSecond())
-                        : OptionalDouble.empty();
-        long at = now - TimeUnit.MILLISECONDS.toNanos(target.getAgeMs());
-        rateLimits
-                .onPeerStatement(
-                        target.getTarget(), new TargetRateLimits.Statement(perSecond, at), now)
-                .ifPresent(
-                        change ->
-                                RateLimitLog.logChange(
-                                        target.getTarget(), change, "peer " + peer.name(), -1));
-    }
-
-    private static AdmittedCount toAdmittedCount(LimitedTarget target) {
-        return new AdmittedCount(
-                target.getSent(), TimeUnit.MILLISECONDS.toNanos(target.getSentSinceMs()));
-    }
-
     private void introduceTo(String host, int port) {
         channel.send(
                 channel.serialize(reportBuilder.buildFull()), new InetSocketAddress(host, port));
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
@@ -0,0 +1,164 @@
+package org.sardinelift.gateway.peer;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.sardinelift.core.load.CallRate;
+import org.sardinelift.core.peer.Peer;
+import org.sardinelift.core.quota.AdmittedCount;
+import org.sardinelift.core.quota.FleetQuota;
+import org.sardinelift.core.quota.QuotaBounds;
+import org.sardinelift.core.quota.TargetRateLimits;
+import org.sardinelift.protocol.generated.LimitedTarget;
+import org.sardinelift.protocol.generated.PeerReport;
+
+/**
+ * The limits that targets state on the rate of their requests, kept equal with the other instances
+ * by reports: limits and requests to limited targets as they change, all limits in full reports, so
+ * that an instance that has just started knows them too. On the event loop.
+ */
+public final class RateLimitReports {
+    /** Keeps a report far below the longest datagram. */
+    private static final int MAX_REPORTED_TARGETS = 300;
+
+    private static final Duration CALL_RATE_WINDOW = Duration.ofSeconds(1);
+
+    private final FleetQuota quota;
+    private final TargetRateLimits limits;
+    private final CallRate ownCalls = CallRate.averagedOver(CALL_RATE_WINDOW);
+    private final Map<String, Double> callsPerSecondOfPeers = new HashMap<>();
+    private double fleetCallsPerSecond;
+
+    /**
+     * Creates the state of an instance that knows no limits.
+     *
+     * @param bounds timeouts after which peers are taken as silent
+     */
+    RateLimitReports(QuotaBounds bounds) {
+        this.quota = FleetQuota.create(bounds, System.nanoTime());
+        this.limits = TargetRateLimits.create(quota, ReportBuilder.CHANGE_REPEAT_PERIOD);
+    }
+
+    /**
+     * The limits.
+     *
+     * @return limits by incarnation of the target
+     */
+    public TargetRateLimits limits() {
+        return limits;
+    }
+
+    /**
+     * A call of a caller arrived here.
+     *
+     * @param now the time, nanoseconds
+     */
+    public void onCallArrived(long now) {
+        ownCalls.onCall(now);
+    }
+
+    /**
+     * Rate at which calls arrive at all live instances.
+     *
+     * @return calls per second, at most a tick old
+     */
+    public double fleetCallsPerSecond() {
+        return fleetCallsPerSecond;
+    }
+
+    /** An instance was found in the store; it counts as silent until it reports. */
+    void onPeerAdded(String name, long now) {
+        quota.onPeerAdded(name, now);
+    }
+
+    /** An instance has stopped for good. */
+    void onPeerRemoved(String name) {
+        quota.onPeerRemoved(name);
+        callsPerSecondOfPeers.remove(name);
+    }
+
+    /** This process stood still while others went on. */
+    void onPause(long now) {
+        quota.onPause(now);
+    }
+
+    /** Detects silent peers; to be called several times per silence timeout. */
+    void tick(List<Peer> livePeers, long now) {
+        quota.detectSilentPeers(now);
+        fleetCallsPerSecond =
+                ownCalls.perSecond(now)
+                        + livePeers.stream()
+                                .map(Peer::name)
+                                .mapToDouble(name -> callsPerSecondOfPeers.getOrDefault(name, 0.0))
+                                .sum();
+    }
+
+    /** Adds to a report what the other instances need to know. */
+    void addTo(PeerReport report, boolean isFull, long now) {
+        report.setCallsPerSecond(ownCalls.perSecond(now));
+        List<LimitedTarget> targets =
+                limits.reports(isFull, now).stream()
+                        .limit(MAX_REPORTED_TARGETS)
+                        .map(target -> toReport(target, now))
+                        .toList();
+        if (!targets.isEmpty()) {
+            report.setLimitedTargets(targets);
+        }
+    }
+
+    private static LimitedTarget toReport(TargetRateLimits.Report target, long now) {
+        long sentSinceMs = TimeUnit.NANOSECONDS.toMillis(target.sent().ageNanos());
+        LimitedTarget limited =
+                new LimitedTarget(target.target(), target.sent().calls(), sentSinceMs);
+        target.statement()
+                .ifPresent(
+                        statement -> {
+                            limited.setAgeMs(TimeUnit.NANOSECONDS.toMillis(now - statement.at()));
+                            statement.perSecond().ifPresent(limited::setPerSecond);
+                        });
+        return limited;
+    }
+
+    /** Takes over what another instance reports. */
+    void onReport(Peer peer, PeerReport report, long now) {
+        callsPerSecondOfPeers.put(peer.name(), report.getCallsPerSecond());
+        List<LimitedTarget> targets =
+                report.isSetLimitedTargets() ? report.getLimitedTargets() : List.of();
+        targets.stream()
+                .filter(LimitedTarget::isSetAgeMs)
+                .forEach(target -> onStatement(peer, target, now));
+        Map<String, AdmittedCount> counts =
+                targets.stream()
+                        .filter(target -> target.getSent() > 0)
+                        .collect(
+                                Collectors.toMap(
+                                        LimitedTarget::getTarget,
+                                        RateLimitReports::toAdmittedCount,
+                                        (first, second) -> second));
+        long ageNanos = TimeUnit.MILLISECONDS.toNanos(report.getAgeMs());
+        quota.onReport(peer.name(), peer.incarnation(), ageNanos, counts, now);
+    }
+
+    private void onStatement(Peer peer, LimitedTarget target, long now) {
+        OptionalDouble perSecond =
+                target.isSetPerSecond()
+                        ? OptionalDouble.of(target.getPerSecond())
+                        : OptionalDouble.empty();
+        long at = now - TimeUnit.MILLISECONDS.toNanos(target.getAgeMs());
+        limits.onPeerStatement(
+                        target.getTarget(), new TargetRateLimits.Statement(perSecond, at), now)
+                .ifPresent(
+                        change ->
+                                RateLimitLog.logChange(
+                                        target.getTarget(), change, "peer " + peer.name(), -1));
+    }
+
+    private static AdmittedCount toAdmittedCount(LimitedTarget target) {
+        return new AdmittedCount(
+                target.getSent(), TimeUnit.MILLISECONDS.toNanos(target.getSentSinceMs()));
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/ReportBuilder.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/ReportBuilder.java
@@ -7,14 +7,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.sardinelift.core.load.CallRate;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.peer.PeerTable;
 import org.sardinelift.core.quota.FleetQuota;
-import org.sardinelift.core.quota.TargetRateLimits;
 import org.sardinelift.gateway.NodeSettings;
-import org.sardinelift.protocol.generated.LimitedTarget;
 import org.sardinelift.protocol.generated.PeerAddress;
 import org.sardinelift.protocol.generated.PeerReport;
 import org.sardinelift.protocol.generated.TargetUse;
@@ -28,9 +25,6 @@
      */
     static final Duration CHANGE_REPEAT_PERIOD = Duration.ofMillis(700);
 
-    /** Keeps a report far below the longest datagram. */
-    private static final int MAX_LIMITED_TARGETS = 300;
-
     /** Reported as the age of what was never read. */
     private static final long NEVER_READ_AGE_MS = -1;
 
@@ -40,8 +34,7 @@
     private final PeerTable peers;
     private final LoadTracker targetLoads;
     private final FleetQuota quota;
-    private final TargetRateLimits rateLimits;
-    private final CallRate ownCalls;
+    private final RateLimitReports rateLimits;
     private final CrashReports crashes;
     private final long incarnation = System.currentTimeMillis();
     private final long startedAt = System.nanoTime();
@@ -58,8 +51,7 @@
             PeerTable peers,
             LoadTracker targetLoads,
             FleetQuota quota,
-            TargetRateLimits rateLimits,
-            CallRate ownCalls,
+            RateLimitReports rateLimits,
             CrashReports crashes) {
         this.settings = settings;
         this.role = role;
@@ -68,7 +60,6 @@
         this.targetLoads = targetLoads;
         this.quota = quota;
         this.rateLimits = rateLimits;
-        this.ownCalls = ownCalls;
         this.crashes = crashes;
     }
 
@@ -125,36 +116,11 @@
                         .toList());
         report.setTeams(teamCounts(isFull, now));
         report.setJobs(List.copyOf(assignedJobsSupplier.get()));
-        report.setCallsPerSecond(ownCalls.perSecond(now));
-        addLimitedTargets(report, isFull, now);
+        rateLimits.addTo(report, isFull, now);
         crashes.addTo(report, isFull, now);
         return report;
     }
 
-    private void addLimitedTargets(PeerReport report, boolean isFull, long now) {
-        List<LimitedTarget> targets =
-                rateLimits.reports(isFull, now).stream()
-                        .limit(MAX_LIMITED_TARGETS)
-                        .map(target -> toLimitedTarget(target, now))
-                        .toList();
-        if (!targets.isEmpty()) {
-            report.setLimitedTargets(targets);
-        }
-    }
-
-    private static LimitedTarget toLimitedTarget(TargetRateLimits.Report target, long now) {
-        long sentSinceMs = TimeUnit.NANOSECONDS.toMillis(target.sent().ageNanos());
-        LimitedTarget limited =
-                new LimitedTarget(target.target(), target.sent().calls(), sentSinceMs);
-        target.statement()
-                .ifPresent(
-                        statement -> {
-                            limited.setAgeMs(TimeUnit.NANOSECONDS.toMillis(now - statement.at()));
-                            statement.perSecond().ifPresent(limited::setPerSecond);
-                        });
-        return limited;
-    }
-
     private static long ageMs(long readAt, long now) {
         return readAt == 0 ? NEVER_READ_AGE_MS : TimeUnit.NANOSECONDS.toMillis(now - readAt);
     }
