Test a limit that no response has confirmed for a while by a request

Cause: since calls leave limited targets to items and peaks, no response came that showed the end of the limit.

Change: a limit that no instance has heard of for a second is no reason to go elsewhere, within what it allows; the same part of the calls as before is offered the target, so the fleet sends about one.

--- a/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
+++ b/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
@@ -35,6 +35,9 @@
      */
     private static final Duration ABSENCE_TIMEOUT = Duration.ofSeconds(60);
 
+    /** Age from which a limit is tested by a request. */
+    private static final Duration CONFIRMATION_INTERVAL = Duration.ofSeconds(1);
+
     /** Time whose requests a target may get at once, after it got none for that long. */
     private static final Duration BURST_TIME = Duration.ofSeconds(1);
 
@@ -204,6 +207,30 @@
         return state == null ? OptionalDouble.empty() : state.latest.perSecond();
     }
 
+    /**
+     * Whether no target has a limit.
+     *
+     * @return true if every target may get any number of requests
+     */
+    public boolean isEmpty() {
+        return limitedCount == 0;
+    }
+
+    /**
+     * Whether no instance has heard of a target's limit for a while, so that a request is wanted
+     * whose response shows whether it still holds.
+     *
+     * @param target the target
+     * @param now the time
+     * @return false without a limit
+     */
+    public boolean isUnconfirmed(String target, long now) {
+        State state = states.get(target);
+        return state != null
+                && isLimited(state)
+                && now - state.latest.at() >= CONFIRMATION_INTERVAL.toNanos();
+    }
+
     /**
      * Returns when a target's limit allows another request.
      *
--- a/core/src/test/java/org/sardinelift/core/quota/TargetRateLimitsTest.java
+++ b/core/src/test/java/org/sardinelift/core/quota/TargetRateLimitsTest.java
@@ -1,6 +1,7 @@
 package org.sardinelift.core.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -142,4 +143,18 @@
         assertEquals(333, first / MILLI, 1);
         assertEquals(666, second / MILLI, 1);
     }
+
+    /** Calls go elsewhere while they can, so a limit that has ended would be kept for ever. */
+    @Test
+    void aLimitThatNoResponseHasConfirmedForAWhileIsToBeTested() {
+        respond(THREE, 1_000, 1_050);
+        assertFalse(limits.isUnconfirmed(TARGET, 2_000 * MILLI));
+        assertTrue(limits.isUnconfirmed(TARGET, 2_050 * MILLI));
+
+        limits.onPeerStatement(TARGET, statement(3, 2_060), 2_070 * MILLI);
+        assertFalse(limits.isUnconfirmed(TARGET, 2_070 * MILLI));
+
+        respond(NONE, 3_500, 3_550);
+        assertFalse(limits.isUnconfirmed(TARGET, 9_000 * MILLI));
+    }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -127,9 +127,8 @@
     }
 
     private TargetLoad delayUnlessOffered(TargetLoad load) {
-        return load.isRateLimited() && !isOffered(load)
-                ? load.withRateLimit(NOT_OFFERED_DELAY_NANOS)
-                : load;
+        boolean hasLimits = !context.network().rateLimits().limits().isEmpty();
+        return hasLimits && !isOffered(load) ? load.withRateLimit(NOT_OFFERED_DELAY_NANOS) : load;
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -302,7 +302,8 @@
     }
 
     /**
-     * Load of a target.
+     * Load of a target. One whose limit nobody has confirmed for a while is shown without it, so
+     * that a call is sent there.
      *
      * @param target the target
      * @param now the time, nanoseconds
@@ -319,9 +320,12 @@
                         target.health.timeToFirstEventNanos(),
                         false,
                         0);
-        return rateLimit(target).isEmpty()
-                ? load
-                : load.withRateLimit(rateLimits.nanosUntilRequest(target.incarnation, now));
+        if (rateLimit(target).isEmpty()) {
+            return load;
+        }
+        long delay = rateLimits.nanosUntilRequest(target.incarnation, now);
+        boolean isTestDue = delay == 0 && rateLimits.isUnconfirmed(target.incarnation, now);
+        return isTestDue ? load : load.withRateLimit(delay);
     }
 
     /**
