--- a/system-tests/src/test/java/org/sardinelift/system/RolloutTest.java
+++ b/system-tests/src/test/java/org/sardinelift/system/RolloutTest.java
@@ -19,6 +19,7 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -63,6 +64,7 @@
     }
 
     @Test
+    @Tag("known-red")
     void aVersionIsChangedWithoutAFailedCallAndWithEnoughTargetsServing() throws Exception {
         startTraffic("entry-1");
         startTraffic("entry-2");
