Log the software version of targets, and which stream a caller resumes

The logs could not tell the hypotheses of the incident apart: they named neither the version of a target, nor the event after which a caller goes on, nor the attempt that it names as the stream's first. No decision changes.

--- a/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
+++ b/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
@@ -11,6 +11,7 @@
  * @param slots calls that it runs at once
  * @param isLeaving whether it accepts no new calls
  * @param startedAtMs when this incarnation started, Unix milliseconds; 0 if unknown
+ * @param softwareVersion version of the software that writes its streams, empty if it states none
  */
 public record RegisteredTarget(
         String id,
@@ -20,7 +21,8 @@
         String zone,
         int slots,
         boolean isLeaving,
-        long startedAtMs) {
+        long startedAtMs,
+        String softwareVersion) {
 
     /**
      * Names this life of the target, also where it keeps its id in the next one.
--- a/core/src/test/java/org/sardinelift/core/plan/TargetRegistryTest.java
+++ b/core/src/test/java/org/sardinelift/core/plan/TargetRegistryTest.java
@@ -13,7 +13,7 @@
     private final TargetRegistry registry = TargetRegistry.empty();
 
     private static RegisteredTarget target(String id, boolean leaving) {
-        return new RegisteredTarget(id, "s", "10.0.0.1", 80, "z", 8, leaving, 1);
+        return new RegisteredTarget(id, "s", "10.0.0.1", 80, "z", 8, leaving, 1, "v1");
     }
 
     @Test
--- a/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
@@ -16,6 +16,7 @@
  *     target takes from all instances together
  * @param load running calls, waiting calls and slots of a target, separated by commas
  * @param lastEventId number of the event after which a stream resumes
+ * @param resumedCallId id of the caller's attempt that brought the first event of a resumed stream
  * @param promptParts parts of a request's prompt, in the platform's own notation
  * @param waitMs time that a read may wait for a result, milliseconds
  */
@@ -30,5 +31,6 @@
         Set<String> rateLimit,
         String load,
         String lastEventId,
+        String resumedCallId,
         String promptParts,
         String waitMs) {}
--- a/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
@@ -16,6 +16,7 @@
  * @param timeout longest time that the caller waits for the response
  * @param earlierWait time that the caller spent on earlier attempts
  * @param lastEventId event after which the caller resumes a stream
+ * @param resumedCallId id of the caller's attempt that began the stream, empty if it names none
  * @param traits what may make it crash a target
  */
 record AdmittedCall(
@@ -27,6 +28,7 @@
         Duration timeout,
         Duration earlierWait,
         OptionalLong lastEventId,
+        String resumedCallId,
         RequestTraits traits) {
     /** Hash of team, method, path and body. */
     long fingerprint() {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -119,6 +119,7 @@
                 deadline.compareTo(route.timeout()) < 0 ? deadline : route.timeout(),
                 isRetry ? earlierWait : Duration.ZERO,
                 readLastEventId(exchange),
+                header(exchange, headerNames().resumedCallId(), ""),
                 RequestTraits.of(fingerprint(team, exchange), service, promptParts));
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -396,6 +396,7 @@
         LogEvent.of("call.attempt_failed")
                 .with("call", call.id())
                 .with("target", from.target().id())
+                .with("version", from.target().registration().softwareVersion())
                 .with("reason", reason)
                 .with("outcome", outcome.label())
                 .with("events", events)
@@ -514,6 +515,11 @@
                 .with("route", call.route().name())
                 .with("plan", call.planVersion())
                 .with("target", from == null ? null : from.target().id())
+                .with(
+                        "version",
+                        from == null ? null : from.target().registration().softwareVersion())
+                .with("resumes", call.resumedCallId().isEmpty() ? null : call.resumedCallId())
+                .with("resumed_after", call.lastEventId().orElse(-1))
                 .with("status", from == null ? 0 : from.status())
                 .with("sends", sends)
                 .with("events", events)
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
@@ -240,6 +240,7 @@
                                         .with("target", entry.id())
                                         .with("address", entry.host() + ":" + entry.port())
                                         .with("zone", entry.zone())
+                                        .with("version", entry.softwareVersion())
                                         .with("source", source)
                                         .info());
         previous.keySet().stream()
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -454,6 +454,7 @@
                 .with("job", run.scheduledItem().job().spec().id())
                 .with("item", run.item().item().id())
                 .with("target", run.target().id())
+                .with("version", run.target().registration().softwareVersion())
                 .with("how", reason)
                 .with("events", run.item().eventCount())
                 .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - run.startedAt()))
