Keep a stream at its software version when it goes on within its answer

Callers got answers whose first events were written by one version of the service's software and the rest by another: a call whose target broke off, stalled or failed went to any target of its service.

A target's version is registered, but was not read. It is part of its registration now, and from a call's first event on only targets with the version that wrote it may run the call (TargetGroup). Where none can, the answer is broken off as before. The version is taken when the call is sent, since the registration may change meanwhile.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -20,6 +20,7 @@
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
 import org.sardinelift.core.plan.CallKind;
+import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.core.poison.CrashJudgement;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.ErrorResponses.Kind;
@@ -56,6 +57,7 @@
     private final AdmittedCall call;
     private final long arrivedAt;
     private final Set<String> triedTargets = new HashSet<>();
+    private TargetGroup group;
     private @Nullable TargetAttempt attempt;
     private OptionalLong lastEventId;
     private RunOutcome overallOutcome = RunOutcome.NOT_RUN;
@@ -75,6 +77,7 @@
         this.call = call;
         this.arrivedAt = context.now();
         this.lastEventId = call.lastEventId();
+        this.group = TargetGroup.ofService(call.service());
     }
 
     AdmittedCall call() {
@@ -108,7 +111,7 @@
     private void dispatch() {
         long now = context.now();
         List<TargetLoad> loads =
-                context.targets().usableLoads(call.service(), triedTargets, now).stream()
+                context.targets().usableLoads(group, triedTargets, now).stream()
                         .map(this::delayUnlessOffered)
                         .toList();
         Choice choice =
@@ -174,8 +177,8 @@
         if (overallOutcome != RunOutcome.NOT_RUN || isHeadForwarded) {
             fail(
                     refusal.hasNoTarget()
-                            ? "no other usable target"
-                            : "no other target has a free slot in time");
+                            ? "no other usable target of " + group
+                            : "no other target of " + group + " has a free slot in time");
             return;
         }
         Duration left = timeLeft(now);
@@ -197,7 +200,7 @@
 
     /** The figures behind a refusal, for the log and the caller. */
     private String refusalDetail(Choice.Refused refusal, long now) {
-        List<TargetLoad> loads = context.targets().usableLoads(call.service(), triedTargets, now);
+        List<TargetLoad> loads = context.targets().usableLoads(group, triedTargets, now);
         int slots = loads.stream().mapToInt(TargetLoad::slots).sum();
         int online = loads.stream().mapToInt(load -> load.calls().online()).sum();
         int batch = loads.stream().mapToInt(load -> load.calls().batch()).sum();
@@ -308,7 +311,7 @@
         boolean mayMove = call.route().mayRepeat() && runs + 1 < call.route().maxAttempts();
         boolean hasFreeTarget =
                 mayMove
-                        && context.targets().usableLoads(call.service(), triedTargets, now).stream()
+                        && context.targets().usableLoads(group, triedTargets, now).stream()
                                 .anyMatch(TargetLoad::isFreeForOnline);
         if (hasFreeTarget) {
             if (current.hasPartialEvent()) {
@@ -333,6 +336,7 @@
         long now = context.now();
         if (events == 0) {
             firstEventAt = now;
+            group = TargetGroup.ofVersion(from.softwareVersion());
             GatewayMetrics.recordFirstEvent(call.route().name(), now - arrivedAt);
         }
         events += newEvents.size();
@@ -396,7 +400,7 @@
         LogEvent.of("call.attempt_failed")
                 .with("call", call.id())
                 .with("target", from.target().id())
-                .with("version", from.target().registration().softwareVersion())
+                .with("version", from.softwareVersion().version())
                 .with("reason", reason)
                 .with("outcome", outcome.label())
                 .with("events", events)
@@ -515,9 +519,7 @@
                 .with("route", call.route().name())
                 .with("plan", call.planVersion())
                 .with("target", from == null ? null : from.target().id())
-                .with(
-                        "version",
-                        from == null ? null : from.target().registration().softwareVersion())
+                .with("version", from == null ? null : from.softwareVersion().version())
                 .with("resumes", call.resumedCallId().isEmpty() ? null : call.resumedCallId())
                 .with("resumed_after", call.lastEventId().orElse(-1))
                 .with("status", from == null ? 0 : from.status())
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
+import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.stream.EventStreamParser;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.TargetTable.Target;
@@ -21,6 +22,7 @@
 
     private final ForwardedCall forwardedCall;
     private final Target target;
+    private final SoftwareVersion softwareVersion;
     private final TargetLoad load;
     private final long sentAt;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -35,6 +37,7 @@
     TargetAttempt(ForwardedCall forwardedCall, Target target, TargetLoad load, long sentAt) {
         this.forwardedCall = forwardedCall;
         this.target = target;
+        this.softwareVersion = SoftwareVersion.of(target.registration());
         this.load = load;
         this.sentAt = sentAt;
         this.lastProgressAt = sentAt;
@@ -53,6 +56,11 @@
         return target;
     }
 
+    /** Version that the target's software had when the call was sent. */
+    SoftwareVersion softwareVersion() {
+        return softwareVersion;
+    }
+
     TargetLoad load() {
         return load;
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -17,6 +17,7 @@
 import org.sardinelift.core.load.TargetHealth;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.plan.RegisteredTarget;
+import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.core.poison.RequestTraits;
 import org.sardinelift.core.quota.StatedRate;
 import org.sardinelift.core.quota.TargetRateLimits;
@@ -63,9 +64,15 @@
     }
 
     /** One life of a target; a restarted target may keep its id and address. */
-    private record Incarnation(String id, long startedAtMs, String host, int port) {
+    private record Incarnation(
+            String id, long startedAtMs, String host, int port, String softwareVersion) {
         static Incarnation of(RegisteredTarget entry) {
-            return new Incarnation(entry.id(), entry.startedAtMs(), entry.host(), entry.port());
+            return new Incarnation(
+                    entry.id(),
+                    entry.startedAtMs(),
+                    entry.host(),
+                    entry.port(),
+                    entry.softwareVersion());
         }
     }
 
@@ -252,16 +259,16 @@
     }
 
     /**
-     * Loads of a service's targets that calls may be sent to.
+     * Loads of a group's targets that calls may be sent to.
      *
-     * @param service the service
+     * @param group the targets that may run the call
      * @param excluded ids of targets to leave out
      * @param now the time, nanoseconds
      * @return their loads
      */
-    public List<TargetLoad> usableLoads(String service, Set<String> excluded, long now) {
+    public List<TargetLoad> usableLoads(TargetGroup group, Set<String> excluded, long now) {
         return targets.values().stream()
-                .filter(target -> target.registration.service().equals(service))
+                .filter(target -> group.includes(target.registration))
                 .filter(target -> !excluded.contains(target.id()))
                 .filter(target -> isAvailable(target, now))
                 .map(target -> load(target, now))
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -28,6 +28,7 @@
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.call.TargetTable.Target;
@@ -373,7 +374,7 @@
         RoutePlan route =
                 plan.route(scheduled.job().spec().host(), scheduled.item().item().path()).get();
         String service = route.selectService(hash(scheduled.item().item().id())).orElse("");
-        List<TargetLoad> loads = table.usableLoads(service, Set.of(), now);
+        List<TargetLoad> loads = table.usableLoads(TargetGroup.ofService(service), Set.of(), now);
         Optional<TargetLoad> slot = slotSelector.select(loads, now);
         if (slot.isEmpty()) {
             if (slotSelector.hasFreeSlot(loads)) {
