Keep a batch item at the software version that wrote its output

Results of batch items held events of two versions: a worker that preempts an item, or loses its target, started the next run with Last-Event-Id at any target of the service.

The version is kept with the output (ItemProgress), and the item goes on only at targets that have it. Where none serves any more, or the route leads to another service now, the output is discarded and the item starts from its beginning (item.started_over). Where they only have no free slot while others have, it waits as long as it takes to write the output again. An item that finds no slot no longer keeps items of other versions or services from starting.

--- a/core/src/main/java/org/sardinelift/core/joblog/ItemProgress.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/ItemProgress.java
@@ -2,17 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.sardinelift.core.plan.SoftwareVersion;
 
 /** Progress of an item on this worker. Not thread-safe. */
 public final class ItemProgress {
     private final JobItem item;
     private final List<String> output = new ArrayList<>();
     private OptionalLong lastEventId = OptionalLong.empty();
+    private Optional<SoftwareVersion> softwareVersion = Optional.empty();
     private int failedRuns;
     private int interruptions;
     private boolean isRunning;
     private long delayedUntil = Long.MIN_VALUE;
+    private long waitingSince;
 
     ItemProgress(JobItem item) {
         this.item = item;
@@ -45,6 +49,26 @@
         return output.size();
     }
 
+    /**
+     * The version of the software that wrote the output, at which alone the item can go on.
+     *
+     * @return the version, or empty before the first event
+     */
+    public Optional<SoftwareVersion> softwareVersion() {
+        return softwareVersion;
+    }
+
+    /**
+     * A run brought its first event.
+     *
+     * @param version the version of the software that writes its events
+     */
+    public void onRunBegan(SoftwareVersion version) {
+        if (output.isEmpty()) {
+            softwareVersion = Optional.of(version);
+        }
+    }
+
     /**
      * A target sent the next event.
      *
@@ -57,12 +81,13 @@
     }
 
     /**
-     * Discards the output, so that the next run starts from the beginning; used if no target can
-     * resume.
+     * Discards the output, so that the next run starts from the beginning; used if no target can go
+     * on.
      */
     public void discardOutput() {
         output.clear();
         lastEventId = OptionalLong.empty();
+        softwareVersion = Optional.empty();
     }
 
     /**
@@ -115,6 +140,26 @@
         isRunning = isNowRunning;
     }
 
+    /**
+     * A run ended, and the item waits for the next one.
+     *
+     * @param now the time, nanoseconds, monotonic
+     */
+    public void onRunEnded(long now) {
+        isRunning = false;
+        waitingSince = now;
+    }
+
+    /**
+     * Time since the last run ended.
+     *
+     * @param now the time, nanoseconds, monotonic
+     * @return nanoseconds
+     */
+    public long waitingNanos(long now) {
+        return now - waitingSince;
+    }
+
     /**
      * Delays the next run.
      *
--- a/core/src/main/java/org/sardinelift/core/joblog/ItemSchedule.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/ItemSchedule.java
@@ -119,6 +119,19 @@
                                         scheduled -> rank(scheduled, priority(scheduled, nowMs))));
     }
 
+    /**
+     * Whether to discard the output of an item whose software version has no free slot, while
+     * another one has. It waits as long as it takes to write the output again, so that both
+     * together take at most twice the better choice.
+     *
+     * @param item the item, which isn't running
+     * @param now current time, monotonic, nanoseconds
+     * @return true if it has waited that long
+     */
+    public boolean isStartingOverDue(ItemProgress item, long now) {
+        return item.waitingNanos(now) >= item.eventCount() * meanEventMs * NANOS_PER_MILLI;
+    }
+
     /**
      * Selects the running item that gives up its slot first.
      *
--- a/core/src/test/java/org/sardinelift/core/joblog/ItemScheduleTest.java
+++ b/core/src/test/java/org/sardinelift/core/joblog/ItemScheduleTest.java
@@ -1,6 +1,7 @@
 package org.sardinelift.core.joblog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -76,6 +77,15 @@
                         .id());
     }
 
+    @Test
+    void anItemWaitsForItsVersionAsLongAsItsOutputTakesToWriteAgain() {
+        ItemProgress item = scheduled("a", 18_000, 40).item();
+        item.onRunEnded(0);
+
+        assertFalse(schedule.isStartingOverDue(item, Duration.ofMillis(999).toNanos()));
+        assertTrue(schedule.isStartingOverDue(item, Duration.ofMillis(1_000).toNanos()));
+    }
+
     private ItemSchedule.ScheduledItem firstPreempted(ItemSchedule.ScheduledItem... running) {
         return schedule.selectForPreemption(List.of(running), 0).orElseThrow();
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -17,6 +17,7 @@
 import org.sardinelift.core.load.TargetHealth;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.plan.RegisteredTarget;
+import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.core.poison.RequestTraits;
 import org.sardinelift.core.quota.StatedRate;
@@ -275,6 +276,18 @@
                 .toList();
     }
 
+    /**
+     * Whether targets with a software version serve, whether or not they answer at the moment.
+     *
+     * @param version the version
+     * @return true if one that isn't leaving is registered
+     */
+    public boolean hasServing(SoftwareVersion version) {
+        TargetGroup group = TargetGroup.ofVersion(version);
+        return targets.values().stream()
+                .anyMatch(target -> group.includes(target.registration) && !isLeaving(target));
+    }
+
     /**
      * Loads of all targets that calls may be sent to.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -8,6 +8,7 @@
 import org.sardinelift.core.joblog.ItemProgress;
 import org.sardinelift.core.joblog.ItemSchedule;
 import org.sardinelift.core.plan.RoutePlan;
+import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.stream.EventStreamParser;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.ResponseHead;
@@ -24,6 +25,7 @@
     private final ItemSchedule.ScheduledItem scheduledItem;
     private final RoutePlan route;
     private final Target target;
+    private final SoftwareVersion softwareVersion;
     private Runnable canceller = () -> {};
     private long startedAt;
     private long lastEventAt;
@@ -41,6 +43,7 @@
         this.scheduledItem = scheduledItem;
         this.route = route;
         this.target = target;
+        this.softwareVersion = SoftwareVersion.of(target.registration());
     }
 
     ItemSchedule.ScheduledItem scheduledItem() {
@@ -59,6 +62,11 @@
         return target;
     }
 
+    /** Version that the target's software had when the run started. */
+    SoftwareVersion softwareVersion() {
+        return softwareVersion;
+    }
+
     /** Number of events received in this run. */
     int eventCount() {
         return eventCount;
@@ -123,6 +131,7 @@
         List<StreamEvent> received = parser.parse(part);
         if (!received.isEmpty()) {
             lastEventAt = now;
+            item().onRunBegan(softwareVersion);
             eventCount += received.size();
             received.forEach(event -> item().onEvent(event.id(), event.data()));
             item().onProgress();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -28,6 +28,7 @@
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.TargetTable;
@@ -336,15 +337,73 @@
         if (currentPlan == null) {
             return;
         }
-        boolean hasStarted = true;
-        while (hasStarted) {
-            Optional<ItemSchedule.ScheduledItem> next =
-                    schedule.selectNext(
-                            scheduledItems(currentPlan.plan()), now, System.currentTimeMillis());
-            hasStarted = next.isPresent() && tryStart(next.get(), currentPlan.plan(), now);
+        startOverItemsOfGoneVersions(currentPlan.plan());
+        Set<TargetGroup> busyGroups = new HashSet<>();
+        Optional<ItemSchedule.ScheduledItem> next = selectNext(currentPlan.plan(), busyGroups, now);
+        while (next.isPresent()) {
+            tryStart(next.get(), currentPlan.plan(), now).ifPresent(busyGroups::add);
+            next = selectNext(currentPlan.plan(), busyGroups, now);
         }
     }
 
+    private Optional<ItemSchedule.ScheduledItem> selectNext(
+            ServingPlan plan, Set<TargetGroup> busyGroups, long now) {
+        return schedule.selectNext(
+                scheduledItems(plan).filter(each -> !busyGroups.contains(targetGroup(each, plan))),
+                now,
+                System.currentTimeMillis());
+    }
+
+    /** The targets that may run an item; one that has begun goes on at its software version. */
+    private TargetGroup targetGroup(ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
+        return scheduled
+                .item()
+                .softwareVersion()
+                .map(TargetGroup::ofVersion)
+                .orElseGet(() -> serviceGroup(scheduled, plan));
+    }
+
+    private static TargetGroup serviceGroup(
+            ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
+        String service =
+                plan.route(scheduled.job().spec().host(), scheduled.item().item().path())
+                        .flatMap(route -> route.selectService(hash(scheduled.item().item().id())))
+                        .orElse("");
+        return TargetGroup.ofService(service);
+    }
+
+    /** Discards output that no target can go on with, or only one of a service now left. */
+    private void startOverItemsOfGoneVersions(ServingPlan plan) {
+        scheduledItems(plan)
+                .filter(scheduled -> !scheduled.item().isRunning())
+                .filter(scheduled -> !canGoOn(scheduled, plan))
+                .toList()
+                .forEach(
+                        scheduled ->
+                                startOver(scheduled, "no target that may go on has its version"));
+    }
+
+    private boolean canGoOn(ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
+        return scheduled.item().softwareVersion().stream()
+                .allMatch(
+                        version ->
+                                table.hasServing(version)
+                                        && version.service()
+                                                .equals(serviceGroup(scheduled, plan).service()));
+    }
+
+    private static void startOver(ItemSchedule.ScheduledItem scheduled, String reason) {
+        ItemProgress item = scheduled.item();
+        LogEvent.of("item.started_over")
+                .with("job", scheduled.job().spec().id())
+                .with("item", item.item().id())
+                .with("version", item.softwareVersion().map(SoftwareVersion::version).orElse(""))
+                .with("events", item.eventCount())
+                .with("reason", reason)
+                .info();
+        item.discardOutput();
+    }
+
     private Stream<JobProgress> assignedJobs() {
         return assignedJobIds.stream().flatMap(id -> jobs.find(id).stream());
     }
@@ -369,23 +428,45 @@
                                                 + route.completionObjective().toMillis()));
     }
 
-    /** Starts an item if there is a slot for it; returns whether it did. */
-    private boolean tryStart(ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
-        RoutePlan route =
-                plan.route(scheduled.job().spec().host(), scheduled.item().item().path()).get();
-        String service = route.selectService(hash(scheduled.item().item().id())).orElse("");
-        List<TargetLoad> loads = table.usableLoads(TargetGroup.ofService(service), Set.of(), now);
-        Optional<TargetLoad> slot = slotSelector.select(loads, now);
+    /** Starts an item if there is a slot for it; otherwise returns the targets that have none. */
+    private Optional<TargetGroup> tryStart(
+            ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
+        TargetGroup group = targetGroup(scheduled, plan);
+        Optional<TargetLoad> slot = selectSlot(group, now);
+        if (slot.isEmpty() && group.softwareVersion().isPresent()) {
+            slot = selectSlotToStartOver(scheduled, plan, now);
+        }
         if (slot.isEmpty()) {
-            if (slotSelector.hasFreeSlot(loads)) {
-                rescheduleAfter(NEXT_START_DELAY);
-            }
-            return false;
+            return Optional.of(group);
         }
+        RoutePlan route =
+                plan.route(scheduled.job().spec().host(), scheduled.item().item().path()).get();
         Target target = table.find(slot.get().id()).orElseThrow();
         slotSelector.onItemStarted(target.id(), now);
         start(new ItemRun(this, scheduled, route, target), now);
-        return true;
+        return Optional.empty();
+    }
+
+    private Optional<TargetLoad> selectSlot(TargetGroup group, long now) {
+        List<TargetLoad> loads = table.usableLoads(group, Set.of(), now);
+        Optional<TargetLoad> slot = slotSelector.select(loads, now);
+        if (slot.isEmpty() && slotSelector.hasFreeSlot(loads)) {
+            rescheduleAfter(NEXT_START_DELAY);
+        }
+        return slot;
+    }
+
+    /** Finds a slot at another version for an item that has waited too long for its own. */
+    private Optional<TargetLoad> selectSlotToStartOver(
+            ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
+        if (!schedule.isStartingOverDue(scheduled.item(), now)) {
+            return Optional.empty();
+        }
+        Optional<TargetLoad> slot = selectSlot(serviceGroup(scheduled, plan), now);
+        if (slot.isPresent()) {
+            startOver(scheduled, "its version has no free slot");
+        }
+        return slot;
     }
 
     private void start(ItemRun run, long now) {
@@ -447,7 +528,7 @@
         if (runs.isEmpty()) {
             running.remove(run.target());
         }
-        run.item().setRunning(false);
+        run.item().onRunEnded(System.nanoTime());
         network.targetLoads().onOwnCallsChanged(run.target().id(), ITEM_ENDED);
         network.onSlotFreed();
         WorkerMetrics.setRunningItems(runs().size());
@@ -455,7 +536,7 @@
                 .with("job", run.scheduledItem().job().spec().id())
                 .with("item", run.item().item().id())
                 .with("target", run.target().id())
-                .with("version", run.target().registration().softwareVersion())
+                .with("version", run.softwareVersion().version())
                 .with("how", reason)
                 .with("events", run.item().eventCount())
                 .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - run.startedAt()))
