Resume a stream only at the software version that began it

A caller whose answer breaks comes back at any instance with Last-Event-Id, and was sent to any target of the service. Nothing read the header that names the attempt that brought the first event, and what an instance knew of an attempt ended with it.

Each instance now remembers which version it sent a stream to. While a service has one version, that is all. Once it may have had several within the time in which a stream can be resumed, it tells two other instances, chosen by the hash of team and attempt id in different zones (OriginKeepers), when it sends the call to a target: the first event takes longer than the report. When a second version appears, it tells the streams of the last seconds. An instance that a caller comes back to looks into its own memory, takes the only version that the service had lately, or asks the keepers. A stream whose version is not known, or has gone, is refused as not run.

That a service had only one version is known from the lists of targets, if they are as new as those of other instances. A new version gets no new streams until all of them can have listed it, while another version serves. An instance that starts reads from the store when versions were last registered, which is written only while a service has several (VersionRecordFeed).

--- a/core/src/main/java/org/sardinelift/core/peer/PeerTable.java
+++ b/core/src/main/java/org/sardinelift/core/peer/PeerTable.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
@@ -158,6 +159,28 @@
                 .filter(peer -> peer.role() == role && !peer.isLeaving() && isLive(peer, now));
     }
 
+    /**
+     * Returns the live peers that are not about to stop, of all roles.
+     *
+     * @param now the time
+     * @return the peers
+     */
+    public List<Peer> stayingPeers(long now) {
+        return peers.values().stream()
+                .filter(peer -> !peer.isLeaving() && isLive(peer, now))
+                .toList();
+    }
+
+    /**
+     * Finds a peer.
+     *
+     * @param name its name
+     * @return the peer, or empty if it isn't known
+     */
+    public Optional<Peer> find(String name) {
+        return Optional.ofNullable(peers.get(name));
+    }
+
     /**
      * Returns the peers to query, in the order in which to try them: those of a zone first, each
      * group in an order that depends on the draw.
--- /dev/null
+++ b/core/src/main/java/org/sardinelift/core/resume/OriginKeepers.java
@@ -0,0 +1,68 @@
+package org.sardinelift.core.resume;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.sardinelift.core.route.Rendezvous;
+
+/**
+ * Selects the instances that keep where a stream begins, by rendezvous hashing: an instance that a
+ * caller comes back to finds them without knowing which instance began the stream. Zones are used
+ * in turn, so that the loss of one leaves a keeper.
+ */
+public final class OriginKeepers {
+    private OriginKeepers() {}
+
+    /**
+     * An instance that may keep streams.
+     *
+     * @param name its name
+     * @param zone its availability zone
+     * @param hash hash of its name
+     */
+    public record Candidate(String name, String zone, long hash) {
+        /**
+         * Creates a candidate.
+         *
+         * @param name name of the instance
+         * @param zone its availability zone
+         * @return the candidate
+         */
+        public static Candidate of(String name, String zone) {
+            return new Candidate(name, zone, Rendezvous.hash(name));
+        }
+    }
+
+    /**
+     * Selects keepers.
+     *
+     * @param stream hash of the stream
+     * @param candidates the instances
+     * @param count number of keepers
+     * @return the keepers, fewer if there are not as many instances
+     */
+    public static List<Candidate> select(long stream, Collection<Candidate> candidates, int count) {
+        List<Candidate> left = new ArrayList<>(candidates);
+        left.sort(
+                Comparator.comparingLong(
+                                (Candidate candidate) ->
+                                        Rendezvous.weight(stream, candidate.hash()))
+                        .reversed());
+        List<Candidate> selected = new ArrayList<>();
+        Set<String> usedZones = new HashSet<>();
+        while (selected.size() < count && !left.isEmpty()) {
+            Candidate next =
+                    left.stream()
+                            .filter(candidate -> !usedZones.contains(candidate.zone()))
+                            .findFirst()
+                            .orElse(left.get(0));
+            usedZones.add(next.zone());
+            left.remove(next);
+            selected.add(next);
+        }
+        return selected;
+    }
+}
--- a/core/src/main/java/org/sardinelift/core/route/Rendezvous.java
+++ b/core/src/main/java/org/sardinelift/core/route/Rendezvous.java
@@ -18,10 +18,28 @@
      * @return the weight
      */
     public static long weight(String key, String target) {
-        return mix(hash(key) ^ mix(hash(target)));
+        return weight(hash(key), hash(target));
     }
 
-    private static long hash(String text) {
+    /**
+     * Returns the weight of a target for a key by their hashes, which callers keep where they weigh
+     * many targets.
+     *
+     * @param keyHash hash of the key
+     * @param targetHash hash of the target's name
+     * @return the weight
+     */
+    public static long weight(long keyHash, long targetHash) {
+        return mix(keyHash ^ mix(targetHash));
+    }
+
+    /**
+     * Returns the hash of a name.
+     *
+     * @param text the name
+     * @return its hash
+     */
+    public static long hash(String text) {
         long hash = FNV_OFFSET;
         for (byte next : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (next & 0xff)) * FNV_PRIME;
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -19,6 +19,7 @@
 import org.sardinelift.gateway.feed.PlanFeed;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.gateway.feed.TargetFeed;
+import org.sardinelift.gateway.feed.VersionRecordFeed;
 import org.sardinelift.gateway.peer.CrashReports;
 import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.http.HttpClient;
@@ -49,6 +50,7 @@
     /** Rare enough to cost nothing, frequent enough to show what an outage cost. */
     private static final Duration STORE_CALL_LOG_INTERVAL = Duration.ofSeconds(10);
 
+    private static final Duration VERSION_RECORD_CHECK_INTERVAL = Duration.ofMillis(500);
     private static final int MAX_QUEUED_STORE_CALLS = 2_000;
     private static final String METRICS_PATH = "/metrics";
     private static final String STATUS_PATH = "/status";
@@ -68,6 +70,7 @@
     private final PeerSnapshots snapshots;
     private final InstanceFeed instances;
     private final CrashCauseFeed crashCauses;
+    private final VersionRecordFeed versionRecord;
     private Listener listener = new Listener() {};
 
     /** Is notified of what the feeds have read, on the event loop. */
@@ -133,6 +136,27 @@
                         control,
                         storeAvailability,
                         trait -> loop.execute(() -> network.crashes().onStoredTrait(trait)));
+        this.versionRecord =
+                VersionRecordFeed.of(
+                        store,
+                        control,
+                        storeAvailability,
+                        ages ->
+                                loop.execute(
+                                        () ->
+                                                network.streams()
+                                                        .history()
+                                                        .onRecord(ages, System.nanoTime())));
+    }
+
+    /** Has this instance write which versions were registered, if it reads the targets itself. */
+    private void recordVersions() {
+        if (network.isTargetsReader()) {
+            network.streams()
+                    .history()
+                    .dueRecord(System.nanoTime())
+                    .ifPresent(versionRecord::write);
+        }
     }
 
     private void storeRefusedTraits() {
@@ -177,6 +201,11 @@
         public long targetsRevision() {
             return targets.snapshot().changedRevision();
         }
+
+        @Override
+        public long targetsConfirmedAt() {
+            return targets.snapshot().readAt();
+        }
     }
 
     private MeteredObjectStore createStore(PlatformAdapter adapter) {
@@ -202,13 +231,16 @@
     void start(Listener newListener) {
         listener = newListener;
         plans.start();
-        targets.start();
+        // Targets listed before the record would look as if no other version had been there.
+        versionRecord.start(targets::start);
         instances.start();
         storeRefusedTraits();
         crashCauses.start();
         snapshots.start();
         network.start();
         control.scheduleRepeatedly(STORE_CALL_LOG_INTERVAL, this::logStoreCalls);
+        control.scheduleRepeatedly(
+                VERSION_RECORD_CHECK_INTERVAL, () -> loop.execute(this::recordVersions));
     }
 
     private void onPlan(ServingPlan plan) {
@@ -221,7 +253,11 @@
     }
 
     private void onTargets(Map<String, RegisteredTarget> entries) {
-        loop.execute(() -> listener.onTargetsChanged(entries));
+        loop.execute(
+                () -> {
+                    network.streams().onTargets(entries.values());
+                    listener.onTargetsChanged(entries);
+                });
     }
 
     /** Serves snapshots, status, metrics and the role's own calls on the internal port. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
+import org.sardinelift.core.plan.CallKind;
 import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.core.poison.RequestTraits;
 
@@ -30,6 +31,11 @@
         OptionalLong lastEventId,
         String resumedCallId,
         RequestTraits traits) {
+    /** Whether the caller resumes a stream that an earlier attempt began. */
+    boolean isResumedStream() {
+        return route.kind() == CallKind.STREAM && lastEventId.isPresent();
+    }
+
     /** Hash of team, method, path and body. */
     long fingerprint() {
         return traits.request();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -34,7 +34,7 @@
     private final PlanFeed plans;
     private final PlatformAdapter adapter;
     private final JobProxy jobProxy;
-    private final CrashGate crashGate;
+    private final ResumeGate resumeGate;
 
     CallHandler(
             ForwardingContext context, PlanFeed plans, PlatformAdapter adapter, JobProxy jobProxy) {
@@ -42,7 +42,7 @@
         this.plans = plans;
         this.adapter = adapter;
         this.jobProxy = jobProxy;
-        this.crashGate = new CrashGate(context);
+        this.resumeGate = new ResumeGate(context, new CrashGate(context));
     }
 
     @Override
@@ -97,7 +97,7 @@
             return;
         }
         AdmittedCall call = toAdmittedCall(exchange, id, plan, route, teamName);
-        crashGate.admit(exchange, new ForwardedCall(context, exchange, call));
+        resumeGate.admit(exchange, new ForwardedCall(context, exchange, call));
     }
 
     private AdmittedCall toAdmittedCall(
@@ -105,8 +105,11 @@
         Duration deadline = readDeadline(exchange, route);
         Duration earlierWait = route.timeout().minus(deadline);
         boolean isRetry = earlierWait.compareTo(RETRY_DETECTION_MARGIN) > 0;
+        String resumedCallId = header(exchange, headerNames().resumedCallId(), "");
+        // A resumed stream goes to the service that its first attempt was sent to.
+        String firstCallId = resumedCallId.isEmpty() ? id : resumedCallId;
         String service =
-                route.selectService(hash(FNV_OFFSET, id.getBytes(StandardCharsets.UTF_8)))
+                route.selectService(hash(FNV_OFFSET, firstCallId.getBytes(StandardCharsets.UTF_8)))
                         .orElse("");
         List<String> promptParts =
                 adapter.sharedPromptParts(exchange.header(headerNames().promptParts()));
@@ -119,7 +122,7 @@
                 deadline.compareTo(route.timeout()) < 0 ? deadline : route.timeout(),
                 isRetry ? earlierWait : Duration.ZERO,
                 readLastEventId(exchange),
-                header(exchange, headerNames().resumedCallId(), ""),
+                resumedCallId,
                 RequestTraits.of(fingerprint(team, exchange), service, promptParts));
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -14,6 +14,9 @@
 final class ErrorResponses {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Callers honour a retry delay of at most their remaining time divided by this. */
+    private static final int MAX_RETRY_DELAY_DIVISOR = 3;
+
     private ErrorResponses() {}
 
     /** Kind of an error, with its status and whether the call was run. */
@@ -40,6 +43,10 @@
         PART_CRASHES_TARGETS(503, "crashes_targets", "not_run"),
         /** No worker can handle a batch job call now. */
         NO_WORKER(503, "no_worker", "not_run"),
+        /** It is not known which software version began the stream that the caller resumes. */
+        UNKNOWN_ORIGIN(503, "unknown_origin", "not_run"),
+        /** No target has the software version that began the stream any more. */
+        VERSION_GONE(503, "version_gone", "not_run"),
         /** A worker received a batch job call and did not answer. */
         WORKER_FAILED(504, "worker_failed", "unknown");
 
@@ -62,6 +69,11 @@
         }
     }
 
+    /** Longest retry delay that a caller honours with some time left. */
+    static Duration maxRetryDelay(Duration left) {
+        return left.dividedBy(MAX_RETRY_DELAY_DIVISOR);
+    }
+
     static void send(HttpExchange exchange, Kind kind, String callId, String detail) {
         send(exchange, kind, callId, detail, null);
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -20,12 +20,15 @@
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
 import org.sardinelift.core.plan.CallKind;
+import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.core.poison.CrashJudgement;
+import org.sardinelift.core.resume.VersionHistory;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.ErrorResponses.Kind;
 import org.sardinelift.gateway.call.TargetTable.Target;
 import org.sardinelift.gateway.peer.CrashReports;
+import org.sardinelift.gateway.peer.StreamExchange;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpExchange;
 import org.sardinelift.runtime.log.LogEvent;
@@ -41,9 +44,6 @@
     /** A stream counts as stalled after this many of its target's usual gaps between events. */
     private static final int STALL_EVENT_GAPS = 4;
 
-    /** Callers honour a retry delay of at most their remaining time divided by this. */
-    private static final int MAX_RETRY_DELAY_DIVISOR = 3;
-
     /** Time that a new target needs to register when there is none. */
     private static final Duration TARGET_REGISTRATION_TIME = Duration.ofMillis(500);
 
@@ -92,6 +92,11 @@
         return call.route().kind() == CallKind.STREAM;
     }
 
+    /** Lets only targets with a software version run the call. */
+    void resumeAt(SoftwareVersion version) {
+        group = TargetGroup.ofVersion(version);
+    }
+
     boolean isCurrent(TargetAttempt candidate) {
         return attempt == candidate && !isEnded;
     }
@@ -111,7 +116,8 @@
     private void dispatch() {
         long now = context.now();
         List<TargetLoad> loads =
-                context.targets().usableLoads(group, triedTargets, now).stream()
+                preferSettledVersions(context.targets().usableLoads(group, triedTargets, now), now)
+                        .stream()
                         .map(this::delayUnlessOffered)
                         .toList();
         Choice choice =
@@ -129,6 +135,28 @@
         }
     }
 
+    /** Leaves out targets with a new software version while others can run the call. */
+    private List<TargetLoad> preferSettledVersions(List<TargetLoad> loads, long now) {
+        if (!mayBeResumed() || group.softwareVersion().isPresent()) {
+            return loads;
+        }
+        VersionHistory history = context.network().streams().history();
+        List<TargetLoad> settled =
+                loads.stream()
+                        .filter(load -> history.isSettled(softwareVersion(load), now))
+                        .toList();
+        return settled.isEmpty() ? loads : settled;
+    }
+
+    private SoftwareVersion softwareVersion(TargetLoad load) {
+        Target target = context.targets().find(load.id()).orElseThrow();
+        return SoftwareVersion.of(target.registration());
+    }
+
+    private boolean mayBeResumed() {
+        return isStream() && call.route().isResumable();
+    }
+
     private TargetLoad delayUnlessOffered(TargetLoad load) {
         boolean hasLimits = !context.network().rateLimits().limits().isEmpty();
         return hasLimits && !isOffered(load) ? load.withRateLimit(NOT_OFFERED_DELAY_NANOS) : load;
@@ -156,7 +184,7 @@
 
     /** Longest time allowed until the next event. */
     private Duration nextEventTimeLimit(long now) {
-        if (events > 0) {
+        if (events > 0 || call.isResumedStream()) {
             // A late stream is worth more than an aborted one.
             return call.timeout();
         }
@@ -189,7 +217,7 @@
                         .nextRetryAfter(
                                 untilSlot,
                                 context.freedSlotsPerSecond(now),
-                                left.dividedBy(MAX_RETRY_DELAY_DIVISOR),
+                                ErrorResponses.maxRetryDelay(left),
                                 call.fingerprint(),
                                 now);
         Kind kind = refusal.hasNoTarget() ? Kind.NO_TARGET : Kind.NO_ROOM;
@@ -254,6 +282,10 @@
         context.network().targetLoads().onOwnCallsChanged(target.id(), ONE_CALL);
         context.network().onLocalChange();
         TargetAttempt next = new TargetAttempt(this, target, load, now);
+        if (mayBeResumed() && !call.isResumedStream() && events == 0) {
+            long stream = StreamExchange.streamHash(call.team(), call.id());
+            context.network().streams().onSent(stream, next.softwareVersion(), sends);
+        }
         attempt = next;
         next.start(context.client(), toHttpCall(target, now));
     }
@@ -445,7 +477,7 @@
             return;
         }
         if (overallOutcome == RunOutcome.NOT_RUN) {
-            Duration maxDelay = timeLeft(context.now()).dividedBy(MAX_RETRY_DELAY_DIVISOR);
+            Duration maxDelay = ErrorResponses.maxRetryDelay(timeLeft(context.now()));
             Duration retryDelay =
                     TARGET_REGISTRATION_TIME.compareTo(maxDelay) < 0
                             ? TARGET_REGISTRATION_TIME
--- a/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
@@ -34,8 +34,19 @@
                     .classicUpperBounds(0.1, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5)
                     .register();
 
+    private static final Counter RESUMED_STREAMS =
+            Counter.builder()
+                    .name("sardinelift_gateway_resumed_streams_total")
+                    .help("Streams resumed by callers, by how their version was found or why not")
+                    .labelNames("result")
+                    .register();
+
     private GatewayMetrics() {}
 
+    static void recordResume(String result) {
+        RESUMED_STREAMS.labelValues(result).inc();
+    }
+
     static void recordCall(String route, String result, long nanos) {
         CALLS.labelValues(route, result).inc();
         CALL_SECONDS.labelValues(route).observe(nanos / NANOS_PER_SECOND);
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
@@ -0,0 +1,143 @@
+package org.sardinelift.gateway.call;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.plan.SoftwareVersion;
+import org.sardinelift.core.resume.OriginInquiry.Outcome;
+import org.sardinelift.core.resume.StreamVersions;
+import org.sardinelift.core.resume.StreamVersions.Found;
+import org.sardinelift.gateway.call.ErrorResponses.Kind;
+import org.sardinelift.gateway.peer.StreamExchange;
+import org.sardinelift.http.HttpExchange;
+import org.sardinelift.runtime.log.LogEvent;
+
+/**
+ * Admits streams that callers resume at the software version that began them, and refuses those
+ * whose version isn't known or has gone: no target checks which version wrote the events before.
+ * Used on the event loop.
+ */
+final class ResumeGate {
+    /** Time in which a keeper that is restarting or cut off may be back. */
+    private static final Duration KEEPER_RETURN_TIME = Duration.ofSeconds(1);
+
+    private final ForwardingContext context;
+    private final CrashGate next;
+
+    ResumeGate(ForwardingContext context, CrashGate next) {
+        this.context = context;
+        this.next = next;
+    }
+
+    /** Passes a call on, once it is known where a resumed stream may go on, or refuses it. */
+    void admit(HttpExchange exchange, ForwardedCall forwardedCall) {
+        AdmittedCall call = forwardedCall.call();
+        if (!call.isResumedStream()) {
+            next.admit(exchange, forwardedCall);
+            return;
+        }
+        long arrivedAt = context.now();
+        StreamExchange streams = context.network().streams();
+        if (call.resumedCallId().isEmpty()) {
+            Optional<SoftwareVersion> version = streams.soleVersion(call.service());
+            if (version.isPresent()) {
+                Found found = new Found(version.get(), StreamVersions.Source.SOLE_VERSION);
+                resume(exchange, forwardedCall, found, arrivedAt);
+            } else {
+                refuse(
+                        exchange,
+                        call,
+                        Kind.UNKNOWN_ORIGIN,
+                        "the call names no attempt that began the stream, and "
+                                + call.service()
+                                + " has several software versions; send it from the start",
+                        null);
+            }
+            return;
+        }
+        long stream = StreamExchange.streamHash(call.team(), call.resumedCallId());
+        Optional<Found> found = streams.find(stream, call.service());
+        if (found.isPresent()) {
+            resume(exchange, forwardedCall, found.get(), arrivedAt);
+        } else {
+            streams.inquire(
+                    stream,
+                    call.service(),
+                    outcome -> onOutcome(exchange, forwardedCall, outcome, arrivedAt));
+        }
+    }
+
+    private void onOutcome(
+            HttpExchange exchange, ForwardedCall forwardedCall, Outcome outcome, long arrivedAt) {
+        if (!exchange.isOpen()) {
+            return;
+        }
+        if (outcome instanceof Outcome.Known known) {
+            Found found = new Found(known.version(), StreamVersions.Source.KEPT);
+            resume(exchange, forwardedCall, found, arrivedAt);
+            return;
+        }
+        AdmittedCall call = forwardedCall.call();
+        int silentKeepers = ((Outcome.Unknown) outcome).silentKeepers();
+        refuse(
+                exchange,
+                call,
+                Kind.UNKNOWN_ORIGIN,
+                "no instance knows which software version began the stream, "
+                        + silentKeepers
+                        + " have not answered; send it from the start",
+                silentKeepers == 0 ? null : retryDelay(call));
+    }
+
+    private static Duration retryDelay(AdmittedCall call) {
+        Duration longest = ErrorResponses.maxRetryDelay(call.timeout());
+        return KEEPER_RETURN_TIME.compareTo(longest) < 0 ? KEEPER_RETURN_TIME : longest;
+    }
+
+    private void resume(
+            HttpExchange exchange, ForwardedCall forwardedCall, Found found, long arrivedAt) {
+        AdmittedCall call = forwardedCall.call();
+        SoftwareVersion version = found.version();
+        boolean isOnRoute =
+                call.route().services().stream()
+                        .anyMatch(each -> each.service().equals(version.service()));
+        if (!isOnRoute || !context.targets().hasServing(version)) {
+            refuse(
+                    exchange,
+                    call,
+                    Kind.VERSION_GONE,
+                    "the stream began at version %s of %s, which no target of the route has; "
+                                    .formatted(version.version(), version.service())
+                            + "send it from the start",
+                    null);
+            return;
+        }
+        GatewayMetrics.recordResume(label(found));
+        LogEvent.of("call.resumed")
+                .with("call", call.id())
+                .with("resumes", call.resumedCallId())
+                .with("resumed_after", call.lastEventId().orElse(-1))
+                .with("service", version.service())
+                .with("version", version.version())
+                .with("source", label(found))
+                .with("asked_ms", (context.now() - arrivedAt) / 1_000_000)
+                .info();
+        forwardedCall.resumeAt(version);
+        next.admit(exchange, forwardedCall);
+    }
+
+    private static String label(Found found) {
+        return found.source().name().toLowerCase(Locale.ROOT);
+    }
+
+    private static void refuse(
+            HttpExchange exchange,
+            AdmittedCall call,
+            Kind kind,
+            String detail,
+            @Nullable Duration retryAfter) {
+        GatewayMetrics.recordResume(kind.label());
+        ErrorResponses.send(exchange, kind, call.id(), detail, retryAfter);
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -27,11 +27,13 @@
 import org.sardinelift.core.quota.AdmittedCount;
 import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.core.quota.QuotaBounds;
+import org.sardinelift.core.resume.StreamVersions;
 import org.sardinelift.gateway.Endpoint;
 import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.protocol.ReportChannel;
 import org.sardinelift.protocol.generated.PeerAddress;
 import org.sardinelift.protocol.generated.PeerReport;
+import org.sardinelift.protocol.generated.StreamMessage;
 import org.sardinelift.protocol.generated.TargetUse;
 import org.sardinelift.protocol.generated.TeamCount;
 import org.sardinelift.runtime.log.LogEvent;
@@ -92,6 +94,8 @@
     private final RateLimitReports rateLimits =
             new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final CrashReports crashes;
+    private final StreamExchange streams;
+    private final StoreReadState storeReadState;
     private final ReportBuilder reportBuilder;
     private final ReportRelay relay;
     private final ReportChannel channel;
@@ -102,6 +106,10 @@
     private long fullReportSentAt;
     private long lastWallClockMs = System.currentTimeMillis();
     private long lastMonotonicNanos = System.nanoTime();
+
+    /** When this process last went on after it had stood still. */
+    private long resumedAt = System.nanoTime();
+
     private @Nullable ScheduledFuture<?> scheduledZoneReport;
     private long zoneReportDueAt;
     private volatile boolean isPlanReadByOther;
@@ -136,6 +144,14 @@
          * @return the revision
          */
         long targetsRevision();
+
+        /**
+         * When the store is known to have held the targets that this instance has, from a read of
+         * its own or of a peer.
+         *
+         * @return the time, nanoseconds; 0 before the first
+         */
+        long targetsConfirmedAt();
     }
 
     /** Notified of reports received; on the event loop. */
@@ -160,6 +176,10 @@
         this.peers =
                 PeerTable.create(settings.instance(), PEER_SILENCE_TIMEOUT, PEER_REMOVAL_TIMEOUT);
         this.crashes = new CrashReports(settings.instance(), this::onLocalChange);
+        this.storeReadState = storeReadState;
+        this.streams =
+                new StreamExchange(
+                        settings.instance(), loop, this::sendStreams, this::isTargetListCurrent);
         this.reportBuilder =
                 new ReportBuilder(
                         settings,
@@ -268,6 +288,44 @@
         return crashes;
     }
 
+    /**
+     * What is known of the streams that callers may resume.
+     *
+     * @return the exchange with the other instances
+     */
+    public StreamExchange streams() {
+        return streams;
+    }
+
+    /**
+     * Whether no other instance can know of targets that this one doesn't: its list is new, or
+     * while the store is away, newer than those of all other instances, most of which it hears.
+     */
+    private boolean isTargetListCurrent(long now) {
+        long confirmedAt = storeReadState.targetsConfirmedAt();
+        if (confirmedAt == 0 || confirmedAt - resumedAt < 0) {
+            return false;
+        }
+        if (now - confirmedAt < StreamVersions.MAX_LIST_AGE.toNanos()) {
+            return true;
+        }
+        List<Peer> known = peers.all().stream().filter(Peer::hasReported).toList();
+        List<Peer> live = known.stream().filter(peer -> peers.isLive(peer, now)).toList();
+        long revision = storeReadState.targetsRevision();
+        return 2 * live.size() >= known.size()
+                && live.stream().allMatch(peer -> peer.targetsRevision() <= revision);
+    }
+
+    private void sendStreams(String peerName, StreamMessage message) {
+        peers.find(peerName)
+                .ifPresent(
+                        peer -> {
+                            PeerReport datagram = new PeerReport();
+                            datagram.setStreams(message);
+                            send(datagram, List.of(peer));
+                        });
+    }
+
     /** State that other instances need soon has changed. */
     public void onLocalChange() {
         reportToZoneWithin(REPORT_DELAY);
@@ -362,9 +420,11 @@
         for (String gone : peers.removeSilent(now)) {
             quota.onPeerRemoved(gone);
             rateLimits.onPeerRemoved(gone);
+            streams.onPeerRemoved(gone);
             LogEvent.of("peer.forgotten").with("peer", gone).info();
         }
         detectLostPeers(now);
+        streams.tick(peers.stayingPeers(now), now);
         if (now - fleetReportSentAt >= OTHER_ZONE_HEARTBEAT_INTERVAL.toNanos()) {
             reportToFleet();
         } else if (now - zoneReportSentAt >= HEARTBEAT_INTERVAL.toNanos()) {
@@ -409,6 +469,7 @@
         if (pauseMs > MIN_PROCESS_PAUSE.toMillis()) {
             quota.onPause(now);
             rateLimits.onPause(now);
+            resumedAt = now;
             LogEvent.of("process.paused").with("standstill_ms", pauseMs).warn();
         }
         lastWallClockMs = wallClockMs;
@@ -474,6 +535,10 @@
 
     /** A datagram was received: the sender's own report and any that it relays. */
     private void onDatagram(PeerReport report, byte[] bytes) {
+        if (report.isSetStreams()) {
+            streams.onMessage(report.getStreams());
+            return;
+        }
         List<ByteBuffer> relayed = report.isSetRelayed() ? report.getRelayed() : List.of();
         report.unsetRelayed();
         Optional<Peer> sender = onReport(report);
@@ -522,6 +587,7 @@
             onTeamCounts(peer, report, now);
         }
         rateLimits.onReport(peer, report, now);
+        streams.onReport(peer, report);
         if (hasJoined || report.isIntroduce()) {
             introduceTo(peer.host(), peer.port());
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/ReportBuilder.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/ReportBuilder.java
@@ -105,6 +105,7 @@
         report.setTargetsAgeMs(ageMs(storeReadState.targetsReadAt(), now));
         report.setTargetsChanged(storeReadState.targetsRevision());
         report.setLeaving(isLeaving);
+        report.setKeepsStreams(true);
         report.setUses(
                 targetLoads.ownCallsByTarget().entrySet().stream()
                         .map(
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
@@ -265,5 +265,10 @@
         public long targetsRevision() {
             return 0;
         }
+
+        @Override
+        public long targetsConfirmedAt() {
+            return 0;
+        }
     }
 }
--- a/protocol/src/main/thrift/sardinelift.thrift
+++ b/protocol/src/main/thrift/sardinelift.thrift
@@ -302,6 +302,46 @@
   5: i64 sentSinceMs
 }
 
+/** A version of the software that runs on targets of a service. */
+struct ServiceVersion {
+  1: string serviceName,
+  2: string version
+}
+
+/** Where a stream begins, told to an instance that keeps it. */
+struct StreamBeginning {
+  /** Hash of the team and of the id of the caller's first attempt. */
+  1: i64 stream,
+  /** Index of the version in the message. */
+  2: i32 version,
+  /** Number of the send; a later one replaces it. */
+  3: i32 send
+}
+
+/** Asks which software version began a stream. */
+struct StreamQuestion {
+  1: i64 stream,
+  /** Service that would run it now. */
+  2: string serviceName
+}
+
+struct StreamAnswer {
+  1: i64 stream,
+  /** Index of the version in the message; absent if it isn't known. */
+  2: optional i32 version,
+  /** Whether the instance only knows that the service has had no other version lately. */
+  3: bool soleVersion
+}
+
+/** What instances tell each other of streams that callers may resume elsewhere. */
+struct StreamMessage {
+  1: string instance,
+  2: list<ServiceVersion> versions,
+  3: list<StreamBeginning> beginnings,
+  4: list<StreamQuestion> questions,
+  5: list<StreamAnswer> answers
+}
+
 /** Where an instance takes reports. */
 struct PeerAddress {
   1: string instance,
@@ -351,5 +391,9 @@
   /** Targets with a limit that has changed or that requests were sent to lately; or all. */
   24: optional list<LimitedTarget> limitedTargets,
   /** Calls that have arrived at this instance, averaged over the last second. */
-  25: optional double callsPerSecond
+  25: optional double callsPerSecond,
+  /** If set, the datagram holds this message and no report. */
+  26: optional StreamMessage streams,
+  /** Whether the instance takes such messages. */
+  27: optional bool keepsStreams
 }
