--- a/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
@@ -18,8 +18,11 @@
     /** Longest time after which a stream may be resumed; callers wait for seconds. */
     public static final Duration RESUME_WINDOW = Duration.ofSeconds(60);
 
-    /** Older lists of targets may lack a version that other instances use. */
-    public static final Duration MAX_LIST_AGE = Duration.ofSeconds(2);
+    /**
+     * Older lists of targets may lack a version that other instances use. More than the time
+     * between two lists and until peers hear of the second.
+     */
+    public static final Duration MAX_LIST_AGE = Duration.ofMillis(1_300);
 
     /** Lists of other instances are up to {@link #MAX_LIST_AGE} older, and arrive later. */
     private static final Duration VERSION_SETTLE_TIME = MAX_LIST_AGE.plusMillis(200);
--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -0,0 +1,461 @@
+package org.sardinelift.core.resume;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.sardinelift.core.plan.SoftwareVersion;
+import org.sardinelift.core.resume.OriginInquiry.Outcome;
+import org.sardinelift.core.resume.StreamOrigins.Origin;
+
+/**
+ * A fleet of instances in virtual time that begin streams at targets of several software versions,
+ * lose them, and resume them elsewhere. Lists of targets lag, messages are delayed and lost,
+ * instances are killed, frozen and cut off. Counts streams that go on at another version than the
+ * one that began them, and the share that goes on.
+ */
+final class ResumeFleet {
+    static final String SERVICE = "llm";
+    private static final int KEEPERS = 2;
+    private static final int ASKED_KEEPERS = 4;
+    private static final Duration LIST_INTERVAL = Duration.ofMillis(700);
+    private static final Duration PEER_SILENCE_TIMEOUT = Duration.ofMillis(600);
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
+
+    private final Random random;
+    private final double messageLoss;
+    private final int zones;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::number));
+    private final List<Instance> instances = new ArrayList<>();
+    private final Map<String, SoftwareVersion> targets = new HashMap<>();
+    private final Map<SoftwareVersion, Long> record = new HashMap<>();
+    private long revision;
+    private boolean isStoreDown;
+    private long now;
+    private long eventCount;
+    private long streamCount;
+    private long lastFaultAt = Long.MIN_VALUE / 2;
+    private int mixed;
+    private int resumedCalmly;
+    private int lostCalmly;
+    private int tells;
+    private int questions;
+
+    private record Event(long at, long number, Runnable action) {}
+
+    /** One instance; a restart clears what it knows. */
+    private final class Instance {
+        private final String name;
+        private final String zone;
+        private final OriginKeepers.Candidate candidate;
+        private final Set<Stream> streams = new HashSet<>();
+        private StreamVersions versions;
+        private Map<String, SoftwareVersion> list = Map.of();
+        private long listedAt;
+        private long listRevision;
+        private boolean isUp;
+        private boolean isCutOff;
+        private boolean hadSoleVersion;
+        private long downSince;
+        private int life;
+
+        Instance(int number) {
+            this.name = "g-" + number;
+            this.zone = "z-" + number % zones;
+            this.candidate = OriginKeepers.Candidate.of(name, zone);
+            start();
+        }
+
+        private void start() {
+            versions = StreamVersions.create(name);
+            list = Map.of();
+            listedAt = Long.MIN_VALUE;
+            listRevision = 0;
+            hadSoleVersion = false;
+            isUp = true;
+            int startedLife = ++life;
+            readRecord(startedLife);
+            later(millis(random.nextInt(50)), () -> list(startedLife));
+            later(millis(random.nextInt(50)), () -> tick(startedLife));
+        }
+
+        private boolean reachesStore() {
+            return !isStoreDown && !isCutOff;
+        }
+
+        private void readRecord(int ofLife) {
+            if (life != ofLife) {
+                return;
+            }
+            if (!reachesStore()) {
+                later(millis(500), () -> readRecord(ofLife));
+                return;
+            }
+            versions.history()
+                    .onRecord(
+                            record.entrySet().stream()
+                                    .collect(
+                                            Collectors.toMap(
+                                                    Map.Entry::getKey,
+                                                    last ->
+                                                            Duration.ofNanos(
+                                                                    now - last.getValue()))),
+                            now);
+        }
+
+        private void list(int ofLife) {
+            if (life != ofLife) {
+                return;
+            }
+            if (reachesStore()) {
+                apply(Map.copyOf(targets), now, revision);
+                versions.history()
+                        .dueRecord(now)
+                        .ifPresent(
+                                ages -> {
+                                    ages.forEach(
+                                            (version, age) ->
+                                                    record.merge(
+                                                            version,
+                                                            now - age.toNanos(),
+                                                            Math::max));
+                                    versions.history().onRecorded(ages, now);
+                                });
+            }
+            later(LIST_INTERVAL.toNanos() + millis(random.nextInt(50)), () -> list(ofLife));
+        }
+
+        private void apply(Map<String, SoftwareVersion> listed, long at, long ofRevision) {
+            list = listed;
+            listedAt = at;
+            listRevision = ofRevision;
+            versions.history().onTargets(listed.values(), now);
+            tellIfVersionsDiffer();
+        }
+
+        private void tick(int ofLife) {
+            if (life != ofLife) {
+                return;
+            }
+            // An instance takes over a newer list of a peer that it hears.
+            livePeers().stream()
+                    .filter(peer -> peer.listRevision > listRevision)
+                    .findAny()
+                    .ifPresent(peer -> apply(peer.list, peer.listedAt, peer.listRevision));
+            tellIfVersionsDiffer();
+            later(TICK.toNanos(), () -> tick(ofLife));
+        }
+
+        private List<Instance> livePeers() {
+            return isCutOff
+                    ? List.of()
+                    : instances.stream()
+                            .filter(peer -> peer != this && !peer.isCutOff)
+                            .filter(
+                                    peer ->
+                                            peer.isUp
+                                                    || now - peer.downSince
+                                                            < PEER_SILENCE_TIMEOUT.toNanos())
+                            .toList();
+        }
+
+        private boolean isListCurrent() {
+            if (listedAt == Long.MIN_VALUE) {
+                return false;
+            }
+            if (now - listedAt < StreamVersions.MAX_LIST_AGE.toNanos()) {
+                return true;
+            }
+            List<Instance> live = livePeers();
+            return 2 * live.size() >= instances.size() - 1
+                    && live.stream().allMatch(peer -> peer.listRevision <= listRevision);
+        }
+
+        private void tellIfVersionsDiffer() {
+            boolean hasSoleVersion =
+                    versions.soleVersion(SERVICE, isListCurrent(), now).isPresent();
+            if (hadSoleVersion && !hasSoleVersion) {
+                versions.untoldStreams(SERVICE, now).toList().forEach(this::tell);
+            }
+            hadSoleVersion = hasSoleVersion;
+        }
+
+        private List<Instance> keepers(long stream, int count) {
+            Map<String, Instance> byName =
+                    livePeers().stream().collect(Collectors.toMap(peer -> peer.name, p -> p));
+            Collection<OriginKeepers.Candidate> candidates =
+                    byName.values().stream().map(peer -> peer.candidate).toList();
+            return OriginKeepers.select(stream, candidates, count).stream()
+                    .map(each -> byName.get(each.name()))
+                    .toList();
+        }
+
+        private void tell(Origin origin) {
+            keepers(origin.stream(), KEEPERS)
+                    .forEach(
+                            keeper -> {
+                                tells++;
+                                deliver(keeper, () -> keeper.versions.onTold(origin, name, now));
+                            });
+        }
+
+        /** Sends a message; lost if it is, or if either end is away when it arrives. */
+        private void deliver(Instance to, Runnable action) {
+            int ofLife = to.life;
+            if (random.nextDouble() >= messageLoss) {
+                later(
+                        millis(2) + random.nextInt(12) * millis(1),
+                        () -> {
+                            if (to.isUp && to.life == ofLife && !to.isCutOff && !isCutOff) {
+                                action.run();
+                            }
+                        });
+            }
+        }
+
+        Optional<SoftwareVersion> choose() {
+            List<SoftwareVersion> all = list.values().stream().toList();
+            List<SoftwareVersion> settled =
+                    all.stream().filter(each -> versions.history().isSettled(each, now)).toList();
+            List<SoftwareVersion> choice = settled.isEmpty() ? all : settled;
+            return choice.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(choice.get(random.nextInt(choice.size())));
+        }
+
+        void begin(Stream stream) {
+            Optional<SoftwareVersion> version = choose();
+            if (version.isEmpty()) {
+                return;
+            }
+            Origin origin = new Origin(stream.id, version.get(), 1);
+            versions.onSent(origin, now);
+            if (versions.soleVersion(SERVICE, isListCurrent(), now).isEmpty()) {
+                tell(origin);
+            }
+            stream.version = version.get();
+            streams.add(stream);
+            int ofLife = life;
+            boolean breaksOff = random.nextInt(10) == 0;
+            long end = millis(breaksOff ? 20 + random.nextInt(300) : 300 + random.nextInt(600));
+            later(millis(15), () -> stream.hasEvents = life == ofLife && isUp);
+            later(
+                    end,
+                    () -> {
+                        if (streams.remove(stream) && breaksOff) {
+                            comeBack(stream);
+                        }
+                    });
+        }
+
+        void resume(Stream stream) {
+            versions.find(stream.id, SERVICE, isListCurrent(), now)
+                    .ifPresentOrElse(found -> goOn(stream, found.version()), () -> inquire(stream));
+        }
+
+        private void inquire(Stream stream) {
+            List<Instance> keepers = keepers(stream.id, ASKED_KEEPERS);
+            OriginInquiry inquiry =
+                    OriginInquiry.of(keepers.stream().map(keeper -> keeper.name).toList());
+            Consumer<Optional<Outcome>> onOutcome =
+                    outcome -> outcome.ifPresent(known -> onOutcome(stream, known));
+            keepers.forEach(keeper -> ask(stream, keeper, inquiry, onOutcome));
+            later(millis(100), () -> onOutcome.accept(inquiry.onTimeout()));
+        }
+
+        private void ask(
+                Stream stream,
+                Instance keeper,
+                OriginInquiry inquiry,
+                Consumer<Optional<Outcome>> onOutcome) {
+            questions++;
+            deliver(
+                    keeper,
+                    () -> {
+                        Optional<SoftwareVersion> known =
+                                keeper.versions
+                                        .find(stream.id, SERVICE, keeper.isListCurrent(), now)
+                                        .map(StreamVersions.Found::version);
+                        keeper.deliver(
+                                this, () -> onOutcome.accept(inquiry.onAnswer(keeper.name, known)));
+                    });
+        }
+
+        private void onOutcome(Stream stream, Outcome outcome) {
+            if (outcome instanceof Outcome.Known known) {
+                goOn(stream, known.version());
+            } else {
+                count(stream, false);
+            }
+        }
+
+        private void goOn(Stream stream, SoftwareVersion version) {
+            if (!list.containsValue(version)) {
+                count(stream, false);
+                return;
+            }
+            if (!version.equals(stream.version)) {
+                mixed++;
+            }
+            count(stream, true);
+        }
+
+        private void count(Stream stream, boolean goesOn) {
+            long targetsLeft = targets.values().stream().filter(stream.version::equals).count();
+            boolean isCalm = now - lastFaultAt >= CONTACT_TIME.toNanos();
+            if (isCalm && targetsLeft >= 2) {
+                resumedCalmly += goesOn ? 1 : 0;
+                lostCalmly += goesOn ? 0 : 1;
+            }
+        }
+
+        void kill() {
+            isUp = false;
+            downSince = now;
+            life++;
+            Set<Stream> broken = Set.copyOf(streams);
+            streams.clear();
+            broken.forEach(ResumeFleet.this::comeBack);
+            later(millis(300 + random.nextInt(1_200)), this::start);
+        }
+
+        void cutOff(Duration time) {
+            isCutOff = true;
+            later(time.toNanos(), () -> isCutOff = false);
+        }
+    }
+
+    private static final class Stream {
+        private final long id;
+        private SoftwareVersion version = new SoftwareVersion(SERVICE, "");
+        private boolean hasEvents;
+
+        Stream(long id) {
+            this.id = id;
+        }
+    }
+
+    ResumeFleet(long seed, int instanceCount, double messageLoss) {
+        this.random = new Random(seed);
+        this.messageLoss = messageLoss;
+        this.zones = 3;
+        setTargets("v1", 3);
+        IntStream.range(0, instanceCount).forEach(i -> instances.add(new Instance(i)));
+    }
+
+    private static long millis(long count) {
+        return Duration.ofMillis(count).toNanos();
+    }
+
+    void later(long delay, Runnable action) {
+        events.add(new Event(now + delay, eventCount++, action));
+    }
+
+    void at(Duration time, Runnable action) {
+        events.add(new Event(time.toNanos(), eventCount++, action));
+    }
+
+    /** Sets how many targets of a version the store lists. */
+    void setTargets(String version, int count) {
+        SoftwareVersion software = new SoftwareVersion(SERVICE, version);
+        revision++;
+        targets.values().removeIf(software::equals);
+        IntStream.range(0, count).forEach(i -> targets.put(version + "-" + i, software));
+    }
+
+    void setStoreDown(boolean down) {
+        isStoreDown = down;
+    }
+
+    /** Starts streams at a rate until the end of the run. */
+    void startTraffic(int perSecond) {
+        Instance instance = instances.get(random.nextInt(instances.size()));
+        if (instance.isUp) {
+            instance.begin(new Stream(++streamCount * 0x9E3779B97F4A7C15L));
+        }
+        later(
+                (long) (-Math.log(1 - random.nextDouble()) * 1e9 / perSecond),
+                () -> startTraffic(perSecond));
+    }
+
+    private void comeBack(Stream stream) {
+        if (!stream.hasEvents) {
+            return;
+        }
+        long delay = millis(random.nextInt(10) == 0 ? 2_000 : 5 + random.nextInt(40));
+        later(delay, () -> resumeSomewhere(stream));
+    }
+
+    private void resumeSomewhere(Stream stream) {
+        List<Instance> up = instances.stream().filter(instance -> instance.isUp).toList();
+        if (!up.isEmpty()) {
+            up.get(random.nextInt(up.size())).resume(stream);
+        }
+    }
+
+    void kill(double share) {
+        lastFaultAt = now;
+        instances.stream()
+                .filter(instance -> instance.isUp && random.nextDouble() < share)
+                .toList()
+                .forEach(Instance::kill);
+    }
+
+    void killOne() {
+        instances.get(random.nextInt(instances.size())).kill();
+    }
+
+    void cutOff(double share, Duration time) {
+        lastFaultAt = now + time.toNanos();
+        instances.stream()
+                .filter(instance -> random.nextDouble() < share)
+                .forEach(instance -> instance.cutOff(time));
+    }
+
+    void runUntil(Duration end) {
+        while (!events.isEmpty() && events.peek().at() <= end.toNanos()) {
+            Event event = events.poll();
+            now = event.at();
+            event.action().run();
+        }
+    }
+
+    int mixed() {
+        return mixed;
+    }
+
+    /** Returns how many streams were taken up away from faults. */
+    int takenUpCalmly() {
+        return resumedCalmly + lostCalmly;
+    }
+
+    double shareThatGoesOn() {
+        return (double) resumedCalmly / Math.max(1, takenUpCalmly());
+    }
+
+    /** Returns how many streams were told to keepers, and questions asked. */
+    int messages() {
+        return tells + questions;
+    }
+
+    int questions() {
+        return questions;
+    }
+
+    Random random() {
+        return random;
+    }
+}
