Tests of what is remembered of streams; status and bounds

Keepers are hashed once a peer, not at each tick; calls look at settled versions only while a new one is registered. A message that lacks a part is dropped with a log line. /status shows the version of each target and the streams known.

--- a/core/src/main/java/org/sardinelift/core/resume/VersionHistory.java
+++ b/core/src/main/java/org/sardinelift/core/resume/VersionHistory.java
@@ -127,6 +127,16 @@
         return first != null && now - first >= settleNanos;
     }
 
+    /**
+     * Whether a version is registered that some instances may not have listed yet.
+     *
+     * @param now the time
+     * @return false if {@link #isSettled} is true for all
+     */
+    public boolean hasUnsettledVersion(long now) {
+        return registered.stream().anyMatch(version -> !isSettled(version, now));
+    }
+
     /**
      * The record that the store should hold now: the versions of services that had several.
      *
--- /dev/null
+++ b/core/src/test/java/org/sardinelift/core/resume/OriginKeepersTest.java
@@ -0,0 +1,78 @@
+package org.sardinelift.core.resume;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sardinelift.core.resume.OriginKeepers.Candidate;
+
+class OriginKeepersTest {
+    private static final int STREAMS = 2_000;
+    private final Random random = new Random(3);
+
+    private static List<Candidate> fleet(int size) {
+        return IntStream.range(0, size)
+                .mapToObj(i -> Candidate.of("instance-" + i, "z" + i % 3))
+                .toList();
+    }
+
+    private static List<Candidate> without(List<Candidate> fleet, Candidate left) {
+        List<Candidate> others = new ArrayList<>(fleet);
+        others.remove(left);
+        return others;
+    }
+
+    @Test
+    void keepersAreInDifferentZonesIfThereAreSeveral() {
+        random.longs(STREAMS)
+                .forEach(
+                        stream -> {
+                            List<Candidate> keepers = OriginKeepers.select(stream, fleet(8), 2);
+                            assertEquals(
+                                    2, keepers.stream().map(Candidate::zone).distinct().count());
+                        });
+        assertEquals(2, OriginKeepers.select(1, List.copyOf(fleet(8).subList(0, 2)), 4).size());
+        assertEquals(List.of(), OriginKeepers.select(1, List.of(), 2));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {4, 8, 43, 200})
+    void theInstanceThatACallerComesBackToAsksAKeeperThoughTheTwoSeeDifferentPeers(int size) {
+        List<Candidate> fleet = fleet(size);
+        int missed = 0;
+        for (int i = 0; i < STREAMS; i++) {
+            long stream = random.nextLong();
+            Candidate teller = fleet.get(random.nextInt(size));
+            Candidate asker = without(fleet, teller).get(random.nextInt(size - 1));
+            HashSet<Candidate> told =
+                    new HashSet<>(OriginKeepers.select(stream, without(fleet, teller), 2));
+            List<Candidate> asked = OriginKeepers.select(stream, without(fleet, asker), 4);
+            boolean isKeeperItself = told.contains(asker);
+            if (!isKeeperItself && asked.stream().noneMatch(told::contains)) {
+                missed++;
+            }
+        }
+        assertEquals(0, missed);
+    }
+
+    @Test
+    void streamsAreSpreadOverAllInstances() {
+        var counts =
+                random.longs(STREAMS)
+                        .boxed()
+                        .flatMap(stream -> OriginKeepers.select(stream, fleet(24), 2).stream())
+                        .collect(Collectors.groupingBy(Candidate::name, Collectors.counting()));
+
+        assertEquals(24, counts.size());
+        double mean = 2.0 * STREAMS / 24;
+        assertTrue(counts.values().stream().allMatch(count -> count < 1.5 * mean), "" + counts);
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -36,6 +36,8 @@
         root.put("plan", planVersion);
         root.put("storeAnswers", storeAvailability.isAvailable());
         root.put("targetsRevision", targetFeed.snapshot().revision());
+        root.put("knownStreams", network.streams().knownStreams());
+        root.put("droppedStreams", network.streams().droppedStreams());
         ArrayNode peers = root.putArray("peers");
         network.peers().all().stream()
                 .sorted(Comparator.comparing(Peer::name))
@@ -56,6 +58,7 @@
                             targets.addObject()
                                     .put("id", target.id())
                                     .put("zone", target.registration().zone())
+                                    .put("version", target.registration().softwareVersion())
                                     .put("leaving", target.registration().isLeaving())
                                     .put("usable", target.health().isUsable(now))
                                     .put("rateLimit", rateLimit(targetTable, target))
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -137,10 +137,11 @@
 
     /** Leaves out targets with a new software version while others can run the call. */
     private List<TargetLoad> preferSettledVersions(List<TargetLoad> loads, long now) {
-        if (!mayBeResumed() || group.softwareVersion().isPresent()) {
+        VersionHistory history = context.network().streams().history();
+        boolean mayChoose = mayBeResumed() && group.softwareVersion().isEmpty();
+        if (!mayChoose || !history.hasUnsettledVersion(now)) {
             return loads;
         }
-        VersionHistory history = context.network().streams().history();
         List<TargetLoad> settled =
                 loads.stream()
                         .filter(load -> history.isSettled(softwareVersion(load), now))
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +31,7 @@
 import org.sardinelift.protocol.generated.StreamBeginning;
 import org.sardinelift.protocol.generated.StreamMessage;
 import org.sardinelift.protocol.generated.StreamQuestion;
+import org.sardinelift.runtime.log.LogEvent;
 
 /**
  * Tells the keepers of streams which software version begins them, and asks them when a caller
@@ -60,7 +60,7 @@
     private final BiConsumer<String, StreamMessage> sender;
     private final LongPredicate isListCurrent;
     private final StreamVersions versions;
-    private final Set<String> keepingPeers = new HashSet<>();
+    private final Map<String, OriginKeepers.Candidate> keepingPeers = new HashMap<>();
     private final Map<String, List<Origin>> untold = new LinkedHashMap<>();
     private final Map<Long, List<OpenInquiry>> inquiries = new HashMap<>();
     private Set<String> services = Set.of();
@@ -114,12 +114,21 @@
     /**
      * Counts the streams whose beginning is known here.
      *
-     * @return their number
+     * @return number of own and of kept streams
      */
     public int knownStreams() {
         return versions.size();
     }
 
+    /**
+     * Counts the streams that were forgotten before their time because of a bound.
+     *
+     * @return their number
+     */
+    public long droppedStreams() {
+        return versions.droppedCount();
+    }
+
     /**
      * The targets have changed.
      *
@@ -137,7 +146,10 @@
     /** A peer reported whether it keeps streams. */
     void onReport(Peer peer, PeerReport report) {
         if (report.isKeepsStreams()) {
-            keepingPeers.add(peer.name());
+            OriginKeepers.Candidate known = keepingPeers.get(peer.name());
+            if (known == null || !known.zone().equals(peer.zone())) {
+                keepingPeers.put(peer.name(), OriginKeepers.Candidate.of(peer.name(), peer.zone()));
+            }
         } else {
             keepingPeers.remove(peer.name());
         }
@@ -152,8 +164,8 @@
     void tick(Collection<Peer> stayingPeers, long now) {
         candidates =
                 stayingPeers.stream()
-                        .filter(peer -> keepingPeers.contains(peer.name()))
-                        .map(peer -> OriginKeepers.Candidate.of(peer.name(), peer.zone()))
+                        .flatMap(
+                                peer -> Optional.ofNullable(keepingPeers.get(peer.name())).stream())
                         .toList();
         tellWhereVersionsDiffer(now);
     }
@@ -305,6 +317,10 @@
 
     /** A message of a peer arrived. */
     void onMessage(StreamMessage message) {
+        if (!isComplete(message)) {
+            LogEvent.of("streams.unreadable").with("peer", message.getInstance()).warn();
+            return;
+        }
         long now = System.nanoTime();
         List<SoftwareVersion> listed =
                 message.getVersions().stream()
@@ -326,6 +342,14 @@
         }
     }
 
+    private static boolean isComplete(StreamMessage message) {
+        return message.isSetInstance()
+                && message.isSetVersions()
+                && message.isSetBeginnings()
+                && message.isSetQuestions()
+                && message.isSetAnswers();
+    }
+
     private static boolean isIndex(int index, List<?> list) {
         return index >= 0 && index < list.size();
     }
