Tell callers when to come back while no target of a stream's service is there

A resumed stream got a final refusal, and an item lost its output, also where all targets of the service were away for a moment and may be back with the same version. Both count a version as gone only while others serve now. A caller that names several attempts is taken as one that names none.

SoftwareVersionTest.aStreamIsToldWhenToComeBackWhileNoReplicaOfItsServiceIsThere failed before: no Retry-After.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.StreamSupport;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.plan.CallKind;
 import org.sardinelift.core.plan.RateLimit;
@@ -105,7 +106,7 @@
         Duration deadline = readDeadline(exchange, route);
         Duration earlierWait = route.timeout().minus(deadline);
         boolean isRetry = earlierWait.compareTo(RETRY_DETECTION_MARGIN) > 0;
-        String resumedCallId = header(exchange, headerNames().resumedCallId(), "");
+        String resumedCallId = readResumedCallId(exchange);
         // A resumed stream goes to the service that its first attempt was sent to.
         String firstCallId = resumedCallId.isEmpty() ? id : resumedCallId;
         String service =
@@ -150,6 +151,20 @@
         }
     }
 
+    /** Reads which attempt began a resumed stream; empty if the caller names none, or several. */
+    private String readResumedCallId(HttpExchange exchange) {
+        List<String> ids =
+                StreamSupport.stream(exchange.headers().spliterator(), false)
+                        .filter(
+                                header ->
+                                        header.getKey()
+                                                .equalsIgnoreCase(headerNames().resumedCallId()))
+                        .map(header -> header.getValue().trim())
+                        .distinct()
+                        .toList();
+        return ids.size() == 1 ? ids.get(0) : "";
+    }
+
     private Optional<Duration> rateLimitWait(ServingPlan plan, String team) {
         Optional<RateLimit> limit = plan.rateLimit(team);
         if (limit.isEmpty()) {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
@@ -102,7 +102,7 @@
         boolean isOnRoute =
                 call.route().services().stream()
                         .anyMatch(each -> each.service().equals(version.service()));
-        if (!isOnRoute || !context.targets().hasServing(version)) {
+        if (!isOnRoute || context.targets().isReplaced(version)) {
             refuse(
                     exchange,
                     call,
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -277,13 +277,17 @@
     }
 
     /**
-     * Whether targets with a software version serve, whether or not they answer at the moment.
+     * Whether a software version has gone from its service, which others serve now.
      *
      * @param version the version
-     * @return true if one that isn't leaving is registered
+     * @return false also while no target of the service is registered, as its targets may be back
      */
-    public boolean hasServing(SoftwareVersion version) {
-        TargetGroup group = TargetGroup.ofVersion(version);
+    public boolean isReplaced(SoftwareVersion version) {
+        return !hasServing(TargetGroup.ofVersion(version))
+                && hasServing(TargetGroup.ofService(version.service()));
+    }
+
+    private boolean hasServing(TargetGroup group) {
         return targets.values().stream()
                 .anyMatch(target -> group.includes(target.registration) && !isLeaving(target));
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -387,7 +387,7 @@
         return scheduled.item().softwareVersion().stream()
                 .allMatch(
                         version ->
-                                table.hasServing(version)
+                                !table.isReplaced(version)
                                         && version.service()
                                                 .equals(serviceGroup(scheduled, plan).service()));
     }
