--- a/core/src/main/java/org/sardinelift/core/resume/OriginKeepers.java
+++ b/core/src/main/java/org/sardinelift/core/resume/OriginKeepers.java
@@ -45,24 +45,32 @@
      * @return the keepers, fewer if there are not as many instances
      */
     public static List<Candidate> select(long stream, Collection<Candidate> candidates, int count) {
-        List<Candidate> left = new ArrayList<>(candidates);
-        left.sort(
-                Comparator.comparingLong(
-                                (Candidate candidate) ->
-                                        Rendezvous.weight(stream, candidate.hash()))
-                        .reversed());
         List<Candidate> selected = new ArrayList<>();
         Set<String> usedZones = new HashSet<>();
-        while (selected.size() < count && !left.isEmpty()) {
-            Candidate next =
-                    left.stream()
-                            .filter(candidate -> !usedZones.contains(candidate.zone()))
-                            .findFirst()
-                            .orElse(left.get(0));
-            usedZones.add(next.zone());
-            left.remove(next);
+        while (selected.size() < Math.min(count, candidates.size())) {
+            Candidate next = first(stream, candidates, selected, usedZones);
             selected.add(next);
+            usedZones.add(next.zone());
         }
         return selected;
     }
+
+    /** The instance with the highest weight in a zone not used yet, or else of those left. */
+    private static Candidate first(
+            long stream,
+            Collection<Candidate> candidates,
+            List<Candidate> selected,
+            Set<String> usedZones) {
+        Comparator<Candidate> byWeight =
+                Comparator.comparingLong(candidate -> Rendezvous.weight(stream, candidate.hash()));
+        return candidates.stream()
+                .filter(candidate -> !usedZones.contains(candidate.zone()))
+                .max(byWeight)
+                .or(
+                        () ->
+                                candidates.stream()
+                                        .filter(candidate -> !selected.contains(candidate))
+                                        .max(byWeight))
+                .orElseThrow();
+    }
 }
