--- a/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
@@ -48,6 +48,8 @@
         OWN,
         /** Another instance began it, and told this one. */
         KEPT,
+        /** A keeper was asked. */
+        ASKED,
         /** The service has had no other version lately. */
         SOLE_VERSION
     }
--- a/core/src/main/java/org/sardinelift/core/resume/VersionHistory.java
+++ b/core/src/main/java/org/sardinelift/core/resume/VersionHistory.java
@@ -72,16 +72,17 @@
      * @param now the time
      */
     public void onTargets(Collection<SoftwareVersion> versions, long now) {
-        onTime(now);
+        updateSeen(now);
         if (completeSince.isEmpty()) {
             completeSince = OptionalLong.of(now);
         }
         registered = Set.copyOf(versions);
         registered.forEach(version -> firstSeen.putIfAbsent(version, now));
-        onTime(now);
+        updateSeen(now);
     }
 
-    private void onTime(long now) {
+    /** Counts registered versions as seen now, and forgets those that left before the window. */
+    private void updateSeen(long now) {
         registered.forEach(version -> lastSeen.put(version, now));
         List<SoftwareVersion> gone =
                 lastSeen.entrySet().stream()
@@ -104,7 +105,7 @@
      * @return the version, or empty if there may have been several, or none is known
      */
     public Optional<SoftwareVersion> soleVersion(String service, long now) {
-        onTime(now);
+        updateSeen(now);
         boolean isComplete =
                 completeSince.isPresent() && now - completeSince.getAsLong() >= windowNanos;
         List<SoftwareVersion> versions =
@@ -145,7 +146,7 @@
      *     do
      */
     public Optional<Map<SoftwareVersion, Duration>> dueRecord(long now) {
-        onTime(now);
+        updateSeen(now);
         Map<String, Long> versionCounts =
                 lastSeen.keySet().stream()
                         .collect(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
@@ -3,11 +3,12 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.resume.OriginInquiry.Outcome;
-import org.sardinelift.core.resume.StreamVersions;
 import org.sardinelift.core.resume.StreamVersions.Found;
+import org.sardinelift.core.resume.StreamVersions.Source;
 import org.sardinelift.gateway.call.ErrorResponses.Kind;
 import org.sardinelift.gateway.peer.StreamExchange;
 import org.sardinelift.http.HttpExchange;
@@ -38,55 +39,61 @@
             return;
         }
         long arrivedAt = context.now();
-        StreamExchange streams = context.network().streams();
-        if (call.resumedCallId().isEmpty()) {
-            Optional<SoftwareVersion> version = streams.soleVersion(call.service());
-            if (version.isPresent()) {
-                Found found = new Found(version.get(), StreamVersions.Source.SOLE_VERSION);
-                resume(exchange, forwardedCall, found, arrivedAt);
-            } else {
-                refuse(
-                        exchange,
-                        call,
-                        Kind.UNKNOWN_ORIGIN,
-                        "the call names no attempt that began the stream, and "
-                                + call.service()
-                                + " has several software versions; send it from the start",
-                        null);
-            }
-            return;
-        }
-        long stream = StreamExchange.streamHash(call.team(), call.resumedCallId());
-        Optional<Found> found = streams.find(stream, call.service());
+        Optional<Found> found = find(call);
         if (found.isPresent()) {
             resume(exchange, forwardedCall, found.get(), arrivedAt);
+        } else if (call.resumedCallId().isEmpty()) {
+            String detail =
+                    "the call names no attempt that began the stream, and %s may have several"
+                            + " software versions; send it from the start";
+            refuse(exchange, call, Kind.UNKNOWN_ORIGIN, detail.formatted(call.service()), null);
         } else {
-            streams.inquire(
-                    stream,
-                    call.service(),
-                    outcome -> onOutcome(exchange, forwardedCall, outcome, arrivedAt));
+            streams()
+                    .inquire(
+                            streamHash(call),
+                            call.service(),
+                            outcome -> onOutcome(exchange, forwardedCall, outcome, arrivedAt));
         }
     }
 
+    private StreamExchange streams() {
+        return context.network().streams();
+    }
+
+    private static long streamHash(AdmittedCall call) {
+        return StreamExchange.streamHash(call.team(), call.resumedCallId());
+    }
+
+    /** Finds the version that began a stream from what this instance knows. */
+    private Optional<Found> find(AdmittedCall call) {
+        return call.resumedCallId().isEmpty()
+                ? streams()
+                        .soleVersion(call.service())
+                        .map(version -> new Found(version, Source.SOLE_VERSION))
+                : streams().find(streamHash(call), call.service());
+    }
+
     private void onOutcome(
             HttpExchange exchange, ForwardedCall forwardedCall, Outcome outcome, long arrivedAt) {
         if (!exchange.isOpen()) {
             return;
         }
         if (outcome instanceof Outcome.Known known) {
-            Found found = new Found(known.version(), StreamVersions.Source.KEPT);
-            resume(exchange, forwardedCall, found, arrivedAt);
-            return;
+            resume(exchange, forwardedCall, new Found(known.version(), Source.ASKED), arrivedAt);
+        } else if (outcome instanceof Outcome.Unknown unknown) {
+            refuseUnknown(exchange, forwardedCall.call(), unknown.silentKeepers());
         }
-        AdmittedCall call = forwardedCall.call();
-        int silentKeepers = ((Outcome.Unknown) outcome).silentKeepers();
+    }
+
+    private static void refuseUnknown(HttpExchange exchange, AdmittedCall call, int silentKeepers) {
+        String detail =
+                "no instance knows which software version began the stream, %d have not answered;"
+                        + " send it from the start";
         refuse(
                 exchange,
                 call,
                 Kind.UNKNOWN_ORIGIN,
-                "no instance knows which software version began the stream, "
-                        + silentKeepers
-                        + " have not answered; send it from the start",
+                detail.formatted(silentKeepers),
                 silentKeepers == 0 ? null : retryDelay(call));
     }
 
@@ -121,7 +128,7 @@
                 .with("service", version.service())
                 .with("version", version.version())
                 .with("source", label(found))
-                .with("asked_ms", (context.now() - arrivedAt) / 1_000_000)
+                .with("asked_ms", TimeUnit.NANOSECONDS.toMillis(context.now() - arrivedAt))
                 .info();
         forwardedCall.resumeAt(version);
         next.admit(exchange, forwardedCall);
