Forget a software version a minute after it has gone

A service had several versions for ever after one release: instances went on to tell keepers of each stream, to ask for each that came back, to refuse callers that name no attempt, and to write the record each 30 s. Found by reading. When the record was read or written again, each version in it was taken as registered for up to 30 s longer, also by the instance that had seen it go, and the next record held that.

The slack counts only at an instance's first read, and an instance writes only what it has listed itself. The model used another method for written records than the feed did; there is one now.

VersionHistoryTest.aVersionThatHasGoneIsForgottenThoughTheRecordIsWrittenAgain failed before: still several versions after 200 s.

--- a/core/src/main/java/org/sardinelift/core/resume/VersionHistory.java
+++ b/core/src/main/java/org/sardinelift/core/resume/VersionHistory.java
@@ -23,10 +23,15 @@
     private final long windowNanos;
     private final long settleNanos;
     private final Map<SoftwareVersion, Long> firstSeen = new HashMap<>();
+    private final Map<SoftwareVersion, Long> listedAt = new HashMap<>();
+
+    /** As listed here, or as late as the record allows. */
     private final Map<SoftwareVersion, Long> lastSeen = new HashMap<>();
+
     private final Map<SoftwareVersion, Long> recordedAt = new HashMap<>();
     private Set<SoftwareVersion> registered = Set.of();
     private OptionalLong completeSince = OptionalLong.empty();
+    private boolean hasReadRecord;
 
     private VersionHistory(Duration window, Duration settleTime) {
         this.windowNanos = window.toNanos();
@@ -46,15 +51,16 @@
     }
 
     /**
-     * Takes over the record that the store holds.
+     * Takes over the record that the store holds. At its first read a version may have stayed
+     * registered until the record was to be written again; later, this instance lists versions
+     * itself.
      *
      * @param ages time since each version was last known to be registered; empty if there is no
      *     record, as only one version of each service has ever been registered
      * @param now the time
      */
     public void onRecord(Map<SoftwareVersion, Duration> ages, long now) {
-        // A version may have stayed registered for as long as its record isn't written again.
-        long slackNanos = windowNanos / 2;
+        long slackNanos = hasReadRecord ? 0 : recordIntervalNanos();
         ages.forEach(
                 (version, age) -> {
                     long seenAt = now - Math.max(0, age.toNanos() - slackNanos);
@@ -62,7 +68,15 @@
                     lastSeen.merge(version, seenAt, Math::max);
                     recordedAt.merge(version, now - age.toNanos(), Math::max);
                 });
-        completeSince = OptionalLong.of(now - windowNanos);
+        if (!hasReadRecord) {
+            hasReadRecord = true;
+            completeSince = OptionalLong.of(now - windowNanos);
+        }
+    }
+
+    /** Time after which the record of registered versions is written again. */
+    private long recordIntervalNanos() {
+        return windowNanos / 2;
     }
 
     /**
@@ -83,7 +97,11 @@
 
     /** Counts registered versions as seen now, and forgets those that left before the window. */
     private void updateSeen(long now) {
-        registered.forEach(version -> lastSeen.put(version, now));
+        registered.forEach(
+                version -> {
+                    listedAt.put(version, now);
+                    lastSeen.put(version, now);
+                });
         List<SoftwareVersion> gone =
                 lastSeen.entrySet().stream()
                         .filter(seen -> now - seen.getValue() >= windowNanos)
@@ -92,6 +110,7 @@
         gone.forEach(
                 version -> {
                     firstSeen.remove(version);
+                    listedAt.remove(version);
                     lastSeen.remove(version);
                     recordedAt.remove(version);
                 });
@@ -139,11 +158,11 @@
     }
 
     /**
-     * The record that the store should hold now: the versions of services that had several.
+     * What the record in the store should say now of the versions that this instance has listed, if
+     * their services had several.
      *
      * @param now the time
-     * @return time since each version was last registered, or empty if the record in the store will
-     *     do
+     * @return time since each version was last listed, or empty if the record in the store will do
      */
     public Optional<Map<SoftwareVersion, Duration>> dueRecord(long now) {
         updateSeen(now);
@@ -153,7 +172,7 @@
                                 Collectors.groupingBy(
                                         SoftwareVersion::service, Collectors.counting()));
         Map<SoftwareVersion, Duration> ages =
-                lastSeen.entrySet().stream()
+                listedAt.entrySet().stream()
                         .filter(seen -> versionCounts.get(seen.getKey().service()) > 1)
                         .collect(
                                 Collectors.toMap(
@@ -166,16 +185,6 @@
     private boolean isRecordDue(SoftwareVersion version, long now) {
         Long recorded = recordedAt.get(version);
         boolean isRegistered = registered.contains(version);
-        return recorded == null || isRegistered && now - recorded >= windowNanos / 2;
-    }
-
-    /**
-     * A record was written to the store.
-     *
-     * @param ages the record
-     * @param now the time
-     */
-    public void onRecorded(Map<SoftwareVersion, Duration> ages, long now) {
-        ages.forEach((version, age) -> recordedAt.merge(version, now - age.toNanos(), Math::max));
+        return recorded == null || isRegistered && now - recorded >= recordIntervalNanos();
     }
 }
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -132,7 +132,7 @@
                                                             version,
                                                             now - age.toNanos(),
                                                             Math::max));
-                                    versions.history().onRecorded(ages, now);
+                                    versions.history().onRecord(ages, now);
                                 });
             }
             later(LIST_INTERVAL.toNanos() + millis(random.nextInt(50)), () -> list(ofLife));
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
@@ -93,6 +93,18 @@
         }
     }
 
+    @Test
+    void aMinuteAfterAReleaseNothingIsToldOrAskedAnyMore() {
+        ResumeFleet fleet = releases(1, 24, 0.01);
+        fleet.at(seconds(70), fleet::killOne);
+        fleet.runUntil(seconds(160));
+        int messages = fleet.messages();
+        fleet.runUntil(seconds(170));
+
+        assertTrue(messages > 0);
+        assertEquals(messages, fleet.messages());
+    }
+
     @Test
     void withOneVersionNothingIsToldOrAskedAndAllStreamsGoOn() {
         ResumeFleet fleet = new ResumeFleet(1, 24, 0.05);
--- a/core/src/test/java/org/sardinelift/core/resume/VersionHistoryTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/VersionHistoryTest.java
@@ -5,9 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.sardinelift.core.plan.SoftwareVersion;
 
@@ -16,8 +18,11 @@
     private static final SoftwareVersion V2 = new SoftwareVersion("llm", "v2");
     private static final SoftwareVersion OTHER = new SoftwareVersion("other", "v9");
 
-    private final VersionHistory history =
-            VersionHistory.create(Duration.ofSeconds(60), Duration.ofMillis(1_500));
+    private final VersionHistory history = newHistory();
+
+    private static VersionHistory newHistory() {
+        return VersionHistory.create(Duration.ofSeconds(60), Duration.ofMillis(1_500));
+    }
 
     private static long seconds(double seconds) {
         return (long) (seconds * 1e9);
@@ -82,11 +87,61 @@
         Map<SoftwareVersion, Duration> due = history.dueRecord(seconds(2)).orElseThrow();
         assertEquals(Set.of(V1, V2), due.keySet());
 
-        history.onRecorded(due, seconds(2));
+        history.onRecord(due, seconds(2));
         assertEquals(Optional.empty(), history.dueRecord(seconds(31)));
         assertTrue(history.dueRecord(seconds(32)).isPresent());
     }
 
+    @Test
+    void aVersionThatHasGoneIsForgottenThoughTheRecordIsWrittenAgain() {
+        history.onRecord(Map.of(), seconds(0));
+        history.onTargets(Set.of(V1, V2), seconds(0));
+        long now = seconds(1);
+        while (now < seconds(200) && history.soleVersion("llm", now).isEmpty()) {
+            long at = now;
+            history.dueRecord(at).ifPresent(record -> history.onRecord(record, at));
+            now += seconds(1);
+            history.onTargets(Set.of(V2), now);
+        }
+
+        assertTrue(now <= seconds(62), "still several versions after " + now / 1e9 + " s");
+    }
+
+    @Test
+    void aVersionThatHasGoneIsForgottenThoughInstancesRestartAndWriteTheRecord() {
+        Map<SoftwareVersion, Long> record = new HashMap<>(Map.of(V1, 0L, V2, 0L));
+        for (int start = 20; start <= 80; start += 20) {
+            VersionHistory restarted = newHistory();
+            long now = seconds(start);
+            restarted.onRecord(agesOf(record, now), now);
+            restarted.onTargets(Set.of(V2), now);
+            restarted
+                    .dueRecord(now)
+                    .ifPresent(
+                            ages ->
+                                    ages.forEach(
+                                            (version, age) ->
+                                                    record.merge(
+                                                            version,
+                                                            now - age.toNanos(),
+                                                            Math::max)));
+        }
+        VersionHistory last = newHistory();
+        last.onRecord(agesOf(record, seconds(91)), seconds(91));
+        last.onTargets(Set.of(V2), seconds(91));
+
+        assertEquals(Optional.of(V2), last.soleVersion("llm", seconds(91)));
+    }
+
+    private static Map<SoftwareVersion, Duration> agesOf(
+            Map<SoftwareVersion, Long> record, long now) {
+        return record.entrySet().stream()
+                .collect(
+                        Collectors.toMap(
+                                Map.Entry::getKey,
+                                last -> Duration.ofNanos(now - last.getValue())));
+    }
+
     @Test
     void aNewVersionSettlesOnceAllInstancesCanHaveListedIt() {
         history.onTargets(Set.of(V1), seconds(0));
