Read again: age of lists as code of its own, pauses seen before a list is used, wording

Whether a list of targets is current is decided in core now (TargetListAge), and tested; it was mixed into the network of instances. A process that stood still takes note of that before it relies on its list, not only at its next tick; no test shows this. The targets are looked through once for each version, not for each item. Keepers are announced to, and two constants that the model had copied are shared.

--- a/core/src/main/java/org/sardinelift/core/resume/OriginKeepers.java
+++ b/core/src/main/java/org/sardinelift/core/resume/OriginKeepers.java
@@ -14,6 +14,12 @@
  * in turn, so that the loss of one leaves a keeper.
  */
 public final class OriginKeepers {
+    /** Keepers of a stream: one outlives the instance that began it and the other keeper. */
+    public static final int KEEPERS = 2;
+
+    /** Instances that are asked: more, since two instances may see different peers as live. */
+    public static final int ASKED_INSTANCES = 4;
+
     private OriginKeepers() {}
 
     /**
--- a/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
@@ -10,25 +10,22 @@
  * What one instance knows of the software versions that began streams: those that it began itself,
  * those that it keeps for others, and the versions that were registered lately.
  *
- * <p>While a service has one version, nothing is told to other instances. Once it may have several,
- * each stream is told to its keepers when it is sent to a target, before its first event, and so
- * are those that began shortly before. Times are nanoseconds of a monotonic clock. Not thread-safe.
+ * <p>While a service has one version, nothing is announced to other instances. Once it may have
+ * several, each stream is announced to its keepers when it is sent to a target, before its first
+ * event, and so are those that began shortly before. Times are nanoseconds of a monotonic clock.
+ * Not thread-safe.
  */
 public final class StreamVersions {
     /** Longest time after which a stream may be resumed; callers wait for seconds. */
     public static final Duration RESUME_WINDOW = Duration.ofSeconds(60);
 
     /**
-     * Older lists of targets may lack a version that other instances use. More than the time
-     * between two lists and until peers hear of the second.
+     * Longer than the age of a current list, so that each of them has a version that is settled.
      */
-    public static final Duration MAX_LIST_AGE = Duration.ofMillis(1_300);
-
-    /** Lists of other instances are up to {@link #MAX_LIST_AGE} older, and arrive later. */
-    private static final Duration VERSION_SETTLE_TIME = MAX_LIST_AGE.plusMillis(200);
+    private static final Duration VERSION_SETTLE_TIME = TargetListAge.MAX_CURRENT.plusMillis(200);
 
     /** Streams that callers may still be reading when a second version appears. */
-    private static final Duration UNTOLD_STREAM_AGE = Duration.ofSeconds(10);
+    private static final Duration RECENT_STREAM_AGE = Duration.ofSeconds(10);
 
     private static final int MAX_STREAMS = 50_000;
 
@@ -46,7 +43,7 @@
     public enum Source {
         /** This instance began the stream. */
         OWN,
-        /** Another instance began it, and told this one. */
+        /** Another instance began it and announced it. */
         KEPT,
         /** A keeper was asked. */
         ASKED,
@@ -92,14 +89,14 @@
     }
 
     /**
-     * Another instance has told where a stream begins.
+     * Another instance has announced where a stream begins.
      *
      * @param origin where it begins
-     * @param teller the instance
+     * @param announcer the instance
      * @param now the time
      */
-    public void onTold(Origin origin, String teller, long now) {
-        kept.put(origin, teller, now);
+    public void onAnnounced(Origin origin, String announcer, long now) {
+        kept.put(origin, announcer, now);
     }
 
     /**
@@ -134,15 +131,15 @@
     }
 
     /**
-     * The streams of a service that its callers may still be reading, to be told when it may have a
-     * second version.
+     * The streams of a service that its callers may still be reading, to be announced when it may
+     * have a second version.
      *
      * @param service the service
      * @param now the time
      * @return where they begin
      */
-    public Stream<Origin> untoldStreams(String service, long now) {
-        return own.begunWithin(UNTOLD_STREAM_AGE, now)
+    public Stream<Origin> recentStreams(String service, long now) {
+        return own.begunWithin(RECENT_STREAM_AGE, now)
                 .filter(origin -> origin.version().service().equals(service));
     }
 
--- a/core/src/test/java/org/sardinelift/core/resume/OriginKeepersTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/OriginKeepersTest.java
@@ -50,13 +50,17 @@
         int missed = 0;
         for (int i = 0; i < STREAMS; i++) {
             long stream = random.nextLong();
-            Candidate teller = fleet.get(random.nextInt(size));
-            Candidate asker = without(fleet, teller).get(random.nextInt(size - 1));
-            HashSet<Candidate> told =
-                    new HashSet<>(OriginKeepers.select(stream, without(fleet, teller), 2));
-            List<Candidate> asked = OriginKeepers.select(stream, without(fleet, asker), 4);
-            boolean isKeeperItself = told.contains(asker);
-            if (!isKeeperItself && asked.stream().noneMatch(told::contains)) {
+            Candidate first = fleet.get(random.nextInt(size));
+            Candidate asker = without(fleet, first).get(random.nextInt(size - 1));
+            HashSet<Candidate> keepers =
+                    new HashSet<>(
+                            OriginKeepers.select(
+                                    stream, without(fleet, first), OriginKeepers.KEEPERS));
+            List<Candidate> asked =
+                    OriginKeepers.select(
+                            stream, without(fleet, asker), OriginKeepers.ASKED_INSTANCES);
+            boolean isKeeperItself = keepers.contains(asker);
+            if (!isKeeperItself && asked.stream().noneMatch(keepers::contains)) {
                 missed++;
             }
         }
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -27,8 +27,6 @@
  */
 final class ResumeFleet {
     static final String SERVICE = "llm";
-    private static final int KEEPERS = 2;
-    private static final int ASKED_KEEPERS = 4;
     private static final Duration LIST_INTERVAL = Duration.ofMillis(700);
     private static final Duration PEER_SILENCE_TIMEOUT = Duration.ofMillis(600);
     private static final Duration TICK = Duration.ofMillis(50);
@@ -51,7 +49,7 @@
     private int mixed;
     private int resumedCalmly;
     private int lostCalmly;
-    private int tells;
+    private int announcements;
     private int questions;
 
     private record Event(long at, long number, Runnable action) {}
@@ -143,7 +141,7 @@
             listedAt = at;
             listRevision = ofRevision;
             versions.history().onTargets(listed.values(), now);
-            tellIfVersionsDiffer();
+            announceIfVersionsDiffer();
         }
 
         private void tick(int ofLife) {
@@ -155,7 +153,7 @@
                     .filter(peer -> peer.listRevision > listRevision)
                     .findAny()
                     .ifPresent(peer -> apply(peer.list, peer.listedAt, peer.listRevision));
-            tellIfVersionsDiffer();
+            announceIfVersionsDiffer();
             later(TICK.toNanos(), () -> tick(ofLife));
         }
 
@@ -176,7 +174,7 @@
             if (listedAt == Long.MIN_VALUE) {
                 return false;
             }
-            if (now - listedAt < StreamVersions.MAX_LIST_AGE.toNanos()) {
+            if (now - listedAt < TargetListAge.MAX_CURRENT.toNanos()) {
                 return true;
             }
             List<Instance> live = livePeers();
@@ -184,11 +182,11 @@
                     && live.stream().allMatch(peer -> peer.listRevision <= listRevision);
         }
 
-        private void tellIfVersionsDiffer() {
+        private void announceIfVersionsDiffer() {
             boolean hasSoleVersion =
                     versions.soleVersion(SERVICE, isListCurrent(), now).isPresent();
             if (hadSoleVersion && !hasSoleVersion) {
-                versions.untoldStreams(SERVICE, now).toList().forEach(this::tell);
+                versions.recentStreams(SERVICE, now).toList().forEach(this::announce);
             }
             hadSoleVersion = hasSoleVersion;
         }
@@ -203,12 +201,14 @@
                     .toList();
         }
 
-        private void tell(Origin origin) {
-            keepers(origin.stream(), KEEPERS)
+        private void announce(Origin origin) {
+            keepers(origin.stream(), OriginKeepers.KEEPERS)
                     .forEach(
                             keeper -> {
-                                tells++;
-                                deliver(keeper, () -> keeper.versions.onTold(origin, name, now));
+                                announcements++;
+                                deliver(
+                                        keeper,
+                                        () -> keeper.versions.onAnnounced(origin, name, now));
                             });
         }
 
@@ -244,7 +244,7 @@
             Origin origin = new Origin(stream.id, version.get(), 1);
             versions.onSent(origin, now);
             if (versions.soleVersion(SERVICE, isListCurrent(), now).isEmpty()) {
-                tell(origin);
+                announce(origin);
             }
             stream.version = version.get();
             streams.add(stream);
@@ -267,7 +267,7 @@
         }
 
         private void inquire(Stream stream) {
-            List<Instance> keepers = keepers(stream.id, ASKED_KEEPERS);
+            List<Instance> keepers = keepers(stream.id, OriginKeepers.ASKED_INSTANCES);
             OriginInquiry inquiry =
                     OriginInquiry.of(keepers.stream().map(keeper -> keeper.name).toList());
             Consumer<Optional<Outcome>> onOutcome =
@@ -446,9 +446,9 @@
         return (double) resumedCalmly / Math.max(1, takenUpCalmly());
     }
 
-    /** Returns how many streams were told to keepers, and questions asked. */
+    /** Returns how many announcements and questions were sent. */
     int messages() {
-        return tells + questions;
+        return announcements + questions;
     }
 
     int questions() {
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
@@ -94,7 +94,7 @@
     }
 
     @Test
-    void aMinuteAfterAReleaseNothingIsToldOrAskedAnyMore() {
+    void aMinuteAfterAReleaseNothingIsAnnouncedOrAskedAnyMore() {
         ResumeFleet fleet = releases(1, 24, 0.01);
         fleet.at(seconds(70), fleet::killOne);
         fleet.runUntil(seconds(160));
@@ -106,7 +106,7 @@
     }
 
     @Test
-    void withOneVersionNothingIsToldOrAskedAndAllStreamsGoOn() {
+    void withOneVersionNothingIsAnnouncedOrAskedAndAllStreamsGoOn() {
         ResumeFleet fleet = new ResumeFleet(1, 24, 0.05);
         fleet.at(seconds(2), () -> fleet.startTraffic(STREAMS_PER_SECOND));
         fleet.at(seconds(10), () -> fleet.kill(1));
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -231,7 +231,7 @@
     void start(Listener newListener) {
         listener = newListener;
         plans.start();
-        // Targets listed before the record would look as if no other version had been there.
+        // Without the record, versions that have just gone are unknown.
         versionRecord.start(targets::start);
         instances.start();
         storeRefusedTraits();
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/VersionRecordFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/VersionRecordFeed.java
@@ -22,8 +22,8 @@
 
 /**
  * Keeps in the store when the software versions of services with several versions were last
- * registered, so that an instance that starts knows of versions that have gone shortly before. Runs
- * on the control thread.
+ * registered, so that an instance that starts knows of versions that have gone shortly before. Ages
+ * are taken by the wall clocks of the instances. Runs on the control thread.
  */
 public final class VersionRecordFeed {
     private static final ObjectKey KEY = new ObjectKey("sardinelift-software-versions", "main");
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -374,20 +374,24 @@
 
     /** Discards output that no target can go on with, or only one of a service now left. */
     private void startOverItemsOfGoneVersions(ServingPlan plan) {
+        Map<SoftwareVersion, Boolean> replaced = new HashMap<>();
         scheduledItems(plan)
                 .filter(scheduled -> !scheduled.item().isRunning())
-                .filter(scheduled -> !canGoOn(scheduled, plan))
+                .filter(scheduled -> !canGoOn(scheduled, plan, replaced))
                 .toList()
                 .forEach(
                         scheduled ->
                                 startOver(scheduled, "no target that may go on has its version"));
     }
 
-    private boolean canGoOn(ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
+    private boolean canGoOn(
+            ItemSchedule.ScheduledItem scheduled,
+            ServingPlan plan,
+            Map<SoftwareVersion, Boolean> replaced) {
         return scheduled.item().softwareVersion().stream()
                 .allMatch(
                         version ->
-                                !table.isReplaced(version)
+                                !replaced.computeIfAbsent(version, table::isReplaced)
                                         && version.service()
                                                 .equals(serviceGroup(scheduled, plan).service()));
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -27,7 +27,7 @@
 import org.sardinelift.core.quota.AdmittedCount;
 import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.core.quota.QuotaBounds;
-import org.sardinelift.core.resume.StreamVersions;
+import org.sardinelift.core.resume.TargetListAge;
 import org.sardinelift.gateway.Endpoint;
 import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.protocol.ReportChannel;
@@ -297,23 +297,14 @@
         return streams;
     }
 
-    /**
-     * Whether no other instance can know of targets that this one doesn't: its list is new, or
-     * while the store is away, newer than those of all other instances, most of which it hears.
-     */
     private boolean isTargetListCurrent(long now) {
+        // Until the pause is noticed the list looks as new as before it.
+        detectProcessPause(now);
         long confirmedAt = storeReadState.targetsConfirmedAt();
-        if (confirmedAt == 0 || confirmedAt - resumedAt < 0) {
-            return false;
-        }
-        if (now - confirmedAt < StreamVersions.MAX_LIST_AGE.toNanos()) {
-            return true;
-        }
-        List<Peer> known = peers.all().stream().filter(Peer::hasReported).toList();
-        List<Peer> live = known.stream().filter(peer -> peers.isLive(peer, now)).toList();
-        long revision = storeReadState.targetsRevision();
-        return 2 * live.size() >= known.size()
-                && live.stream().allMatch(peer -> peer.targetsRevision() <= revision);
+        return confirmedAt != 0
+                && confirmedAt - resumedAt >= 0
+                && TargetListAge.isCurrent(
+                        now - confirmedAt, storeReadState.targetsRevision(), peers, now);
     }
 
     private void sendStreams(String peerName, StreamMessage message) {
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
@@ -27,6 +27,7 @@
 import org.sardinelift.core.resume.VersionHistory;
 import org.sardinelift.core.route.Rendezvous;
 import org.sardinelift.protocol.generated.PeerReport;
+import org.sardinelift.protocol.generated.ServiceVersion;
 import org.sardinelift.protocol.generated.StreamAnswer;
 import org.sardinelift.protocol.generated.StreamBeginning;
 import org.sardinelift.protocol.generated.StreamMessage;
@@ -34,18 +35,12 @@
 import org.sardinelift.runtime.log.LogEvent;
 
 /**
- * Tells the keepers of streams which software version begins them, and asks them when a caller
- * resumes a stream here that this instance doesn't know. On the event loop.
+ * Announces to the keepers of streams which software version begins them, and asks them when a
+ * caller resumes a stream that this instance doesn't know. On the event loop.
  */
 public final class StreamExchange {
-    /** Outlives the instance that began the stream, and one keeper. */
-    private static final int KEEPERS = 2;
-
-    /** More than {@link #KEEPERS}, since instances may see different peers as live. */
-    private static final int ASKED_KEEPERS = 4;
-
     /** Wait for further streams of the same keeper; the first event takes longer. */
-    private static final Duration TELL_DELAY = Duration.ofMillis(2);
+    private static final Duration ANNOUNCEMENT_DELAY = Duration.ofMillis(2);
 
     /** Several round trips between zones. */
     private static final Duration REPEAT_DELAY = Duration.ofMillis(40);
@@ -61,12 +56,12 @@
     private final LongPredicate isListCurrent;
     private final StreamVersions versions;
     private final Map<String, OriginKeepers.Candidate> keepingPeers = new HashMap<>();
-    private final Map<String, List<Origin>> untold = new LinkedHashMap<>();
+    private final Map<String, List<Origin>> unsent = new LinkedHashMap<>();
     private final Map<Long, List<OpenInquiry>> inquiries = new HashMap<>();
     private Set<String> services = Set.of();
     private Set<String> servicesWithSoleVersion = Set.of();
     private List<OriginKeepers.Candidate> candidates = List.of();
-    private boolean isTellScheduled;
+    private boolean isSendScheduled;
 
     private record OpenInquiry(OriginInquiry inquiry, Consumer<Outcome> listener) {}
 
@@ -140,7 +135,7 @@
         Set<SoftwareVersion> registered =
                 targets.stream().map(SoftwareVersion::of).collect(Collectors.toSet());
         versions.history().onTargets(registered, now);
-        tellWhereVersionsDiffer(now);
+        announceRecentStreams(now);
     }
 
     /** A peer reported whether it keeps streams. */
@@ -167,10 +162,10 @@
                         .flatMap(
                                 peer -> Optional.ofNullable(keepingPeers.get(peer.name())).stream())
                         .toList();
-        tellWhereVersionsDiffer(now);
+        announceRecentStreams(now);
     }
 
-    private void tellWhereVersionsDiffer(long now) {
+    private void announceRecentStreams(long now) {
         Set<String> before = servicesWithSoleVersion;
         servicesWithSoleVersion =
                 services.stream()
@@ -178,9 +173,9 @@
                         .collect(Collectors.toSet());
         before.stream()
                 .filter(service -> !servicesWithSoleVersion.contains(service))
-                .flatMap(service -> versions.untoldStreams(service, now))
+                .flatMap(service -> versions.recentStreams(service, now))
                 .toList()
-                .forEach(this::tell);
+                .forEach(this::announce);
     }
 
     private Optional<SoftwareVersion> soleVersion(String service, long now) {
@@ -199,32 +194,33 @@
         Origin origin = new Origin(stream, version, send);
         versions.onSent(origin, now);
         if (soleVersion(version.service(), now).isEmpty()) {
-            tell(origin);
+            announce(origin);
         }
     }
 
-    private void tell(Origin origin) {
-        OriginKeepers.select(origin.stream(), candidates, KEEPERS)
+    private void announce(Origin origin) {
+        OriginKeepers.select(origin.stream(), candidates, OriginKeepers.KEEPERS)
                 .forEach(
                         keeper ->
-                                untold.computeIfAbsent(keeper.name(), name -> new ArrayList<>())
+                                unsent.computeIfAbsent(keeper.name(), name -> new ArrayList<>())
                                         .add(origin));
-        if (!isTellScheduled && !untold.isEmpty()) {
-            isTellScheduled = true;
-            loop.schedule(this::tellKeepers, TELL_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+        if (!isSendScheduled && !unsent.isEmpty()) {
+            isSendScheduled = true;
+            loop.schedule(
+                    this::sendAnnouncements, ANNOUNCEMENT_DELAY.toNanos(), TimeUnit.NANOSECONDS);
         }
     }
 
-    private void tellKeepers() {
-        isTellScheduled = false;
-        untold.forEach(
+    private void sendAnnouncements() {
+        isSendScheduled = false;
+        unsent.forEach(
                 (keeper, origins) -> {
                     for (int from = 0; from < origins.size(); from += MAX_BEGINNINGS) {
                         int to = Math.min(origins.size(), from + MAX_BEGINNINGS);
                         sender.accept(keeper, toMessage(origins.subList(from, to)));
                     }
                 });
-        untold.clear();
+        unsent.clear();
     }
 
     private StreamMessage toMessage(List<Origin> origins) {
@@ -277,7 +273,7 @@
      */
     public void inquire(long stream, String service, Consumer<Outcome> listener) {
         List<String> keepers =
-                OriginKeepers.select(stream, candidates, ASKED_KEEPERS).stream()
+                OriginKeepers.select(stream, candidates, OriginKeepers.ASKED_INSTANCES).stream()
                         .map(OriginKeepers.Candidate::name)
                         .toList();
         if (keepers.isEmpty()) {
@@ -335,7 +331,7 @@
                                         beginning.getStream(),
                                         listed.get(beginning.getVersion()),
                                         beginning.getSend()))
-                .forEach(origin -> versions.onTold(origin, peer, now));
+                .forEach(origin -> versions.onAnnounced(origin, peer, now));
         message.getAnswers().forEach(answer -> onAnswer(answer, peer, listed));
         if (!message.getQuestions().isEmpty()) {
             sender.accept(peer, answer(message.getQuestions()));
@@ -398,12 +394,9 @@
             return indexes.computeIfAbsent(version, key -> indexes.size());
         }
 
-        List<org.sardinelift.protocol.generated.ServiceVersion> toReport() {
+        List<ServiceVersion> toReport() {
             return indexes.keySet().stream()
-                    .map(
-                            version ->
-                                    new org.sardinelift.protocol.generated.ServiceVersion(
-                                            version.service(), version.version()))
+                    .map(version -> new ServiceVersion(version.service(), version.version()))
                     .toList();
         }
     }
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/StreamExchangeTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/StreamExchangeTest.java
@@ -145,7 +145,7 @@
     }
 
     @Test
-    void withOneVersionNothingIsTold() {
+    void withOneVersionNothingIsAnnounced() {
         readEmptyRecord();
         listTargets("v1");
 
@@ -156,7 +156,7 @@
     }
 
     @Test
-    void streamsThatHaveBegunAreToldWhenASecondVersionAppears() {
+    void streamsThatHaveBegunAreAnnouncedWhenASecondVersionAppears() {
         readEmptyRecord();
         listTargets("v1");
         onLoop(() -> instances.get("g0").onSent(STREAM, V1, 1));
@@ -167,7 +167,7 @@
     }
 
     @Test
-    void twoKeepersInDifferentZonesAreTold() throws InterruptedException {
+    void streamsAreAnnouncedToTwoKeepersInDifferentZones() throws InterruptedException {
         listTargets("v1", "v2");
 
         onLoop(() -> instances.get("g0").onSent(STREAM, V1, 1));
@@ -216,7 +216,7 @@
     }
 
     @Test
-    void instancesThatDoNotKnowTheMessageAreNeitherToldNorAsked() {
+    void instancesThatDoNotKnowTheMessageGetNeitherAnnouncementsNorQuestions() {
         listTargets("v1", "v2");
         onLoop(
                 () -> {
@@ -231,7 +231,7 @@
     }
 
     @Test
-    void aKeeperThatHasSeenOneVersionOnlyVouchesForIt() {
+    void aKeeperThatKnowsOfOnlyOneVersionAnswersWithIt() {
         listTargets("v1");
         onLoop(() -> instances.get("g3").history().onRecord(Map.of(), System.nanoTime()));
 
