Split reports into sections, and the gates and target filters of a call into chains

Moves only: parts that keep their own state equal among instances add a ReportSection, parts that refuse or delay calls a CallGate, parts that narrow the choice of a target a CandidateFilter or a TargetExclusion. The order of the silent-peer checks and of the removal of silent peers within one tick is exchanged, and the evidence of crashes is taken over before the introduction to a new peer.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -35,7 +35,7 @@
     private final PlanFeed plans;
     private final PlatformAdapter adapter;
     private final JobProxy jobProxy;
-    private final ResumeGate resumeGate;
+    private final CallGate firstGate;
 
     CallHandler(
             ForwardingContext context, PlanFeed plans, PlatformAdapter adapter, JobProxy jobProxy) {
@@ -43,7 +43,8 @@
         this.plans = plans;
         this.adapter = adapter;
         this.jobProxy = jobProxy;
-        this.resumeGate = new ResumeGate(context, new CrashGate(context));
+        CallGate start = (exchange, call) -> call.start();
+        this.firstGate = new ResumeGate(context, new CrashGate(context, start));
     }
 
     @Override
@@ -98,7 +99,7 @@
             return;
         }
         AdmittedCall call = toAdmittedCall(exchange, id, plan, route, teamName);
-        resumeGate.admit(exchange, new ForwardedCall(context, exchange, call));
+        firstGate.admit(exchange, new ForwardedCall(context, exchange, call));
     }
 
     private AdmittedCall toAdmittedCall(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -1,6 +1,7 @@
 package org.sardinelift.gateway.call;
 
 import io.netty.channel.EventLoop;
+import java.util.List;
 import org.sardinelift.core.load.Placement;
 import org.sardinelift.core.load.RetryAfterSchedule;
 import org.sardinelift.gateway.GatewaySettings;
@@ -51,7 +52,10 @@
                         Placement.of(settings.node().zone(), settings.placementMargin()),
                         RetryAfterSchedule.create(),
                         new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders()),
-                        new StallDetector(loop));
+                        new StallDetector(loop),
+                        List.of(
+                                new SettledVersionFilter(table, network.streams().history()),
+                                new RateLimitedTargetFilter(table, network.rateLimits())));
         JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
         return new CallPipeline(new CallHandler(context, plans, adapter, jobs));
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CrashGate.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CrashGate.java
@@ -9,28 +9,31 @@
 import org.sardinelift.runtime.log.LogEvent;
 
 /**
- * Starts admitted calls unless requests like them crash targets. Of refused calls one at a time
+ * Passes admitted calls on unless requests like them crash targets. Of refused calls one at a time
  * over the fleet is started as a trial. Used on the event loop.
  */
-final class CrashGate {
+final class CrashGate implements CallGate {
     /** Time for the claims of other instances to arrive, relays included. */
     private static final Duration TRIAL_CLAIM_TIME = Duration.ofMillis(100);
 
     private final ForwardingContext context;
+    private final CallGate next;
 
-    CrashGate(ForwardingContext context) {
+    CrashGate(ForwardingContext context, CallGate next) {
         this.context = context;
+        this.next = next;
     }
 
-    /** Starts a call, refuses it, or claims to run it as a trial. */
-    void admit(HttpExchange exchange, ForwardedCall call) {
+    /** Passes a call on, refuses it, or claims to run it as a trial. */
+    @Override
+    public void admit(HttpExchange exchange, ForwardedCall call) {
         CrashJudgement judgement = crashes().judge(call.call().traits());
         if (judgement instanceof CrashJudgement.Refused refused) {
             refuse(exchange, call, refused);
         } else if (judgement instanceof CrashJudgement.Trial trial) {
             claimTrial(exchange, call, trial);
         } else {
-            call.start();
+            next.admit(exchange, call);
         }
     }
 
@@ -78,7 +81,7 @@
                 .with("runs_here", runsHere)
                 .info();
         if (runsHere) {
-            call.start();
+            next.admit(exchange, call);
         } else {
             refuse(exchange, call, trial.refusal());
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -8,14 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.Placement.Choice;
-import org.sardinelift.core.load.RateLimitedTargetSample;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
@@ -23,7 +21,6 @@
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.core.poison.CrashJudgement;
-import org.sardinelift.core.resume.VersionHistory;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.ErrorResponses.Kind;
 import org.sardinelift.gateway.call.TargetTable.Target;
@@ -49,9 +46,6 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
-    /** Longer than any caller waits, for targets with a rate limit that the call isn't offered. */
-    private static final long NOT_OFFERED_DELAY_NANOS = Duration.ofMinutes(1).toNanos();
-
     private final ForwardingContext context;
     private final HttpExchange exchange;
     private final AdmittedCall call;
@@ -88,6 +82,21 @@
         return lastEventId;
     }
 
+    /** The targets that may run the call. */
+    TargetGroup group() {
+        return group;
+    }
+
+    /** How often the call was sent to a target. */
+    int sends() {
+        return sends;
+    }
+
+    /** When the call arrived here, nanoseconds. */
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
     boolean isStream() {
         return call.route().kind() == CallKind.STREAM;
     }
@@ -115,11 +124,7 @@
 
     private void dispatch() {
         long now = context.now();
-        List<TargetLoad> loads =
-                preferSettledVersions(context.targets().usableLoads(group, triedTargets, now), now)
-                        .stream()
-                        .map(this::delayUnlessOffered)
-                        .toList();
+        List<TargetLoad> loads = candidates(now);
         Choice choice =
                 context.placement().choose(loads, nextEventTimeLimit(now), call.fingerprint());
         if (choice instanceof Choice.Placed placed) {
@@ -135,49 +140,18 @@
         }
     }
 
-    /** Leaves out targets with a new software version while others can run the call. */
-    private List<TargetLoad> preferSettledVersions(List<TargetLoad> loads, long now) {
-        VersionHistory history = context.network().streams().history();
-        boolean mayChoose = mayBeResumed() && group.softwareVersion().isEmpty();
-        if (!mayChoose || !history.hasUnsettledVersion(now)) {
-            return loads;
+    private List<TargetLoad> candidates(long now) {
+        List<TargetLoad> loads = context.targets().usableLoads(group, triedTargets, now);
+        for (CandidateFilter filter : context.candidateFilters()) {
+            loads = filter.filter(this, loads, now);
         }
-        List<TargetLoad> settled =
-                loads.stream()
-                        .filter(load -> history.isSettled(softwareVersion(load), now))
-                        .toList();
-        return settled.isEmpty() ? loads : settled;
+        return loads;
     }
 
-    private SoftwareVersion softwareVersion(TargetLoad load) {
-        Target target = context.targets().find(load.id()).orElseThrow();
-        return SoftwareVersion.of(target.registration());
-    }
-
-    private boolean mayBeResumed() {
+    boolean mayBeResumed() {
         return isStream() && call.route().isResumable();
     }
 
-    private TargetLoad delayUnlessOffered(TargetLoad load) {
-        boolean hasLimits = !context.network().rateLimits().limits().isEmpty();
-        return hasLimits && !isOffered(load) ? load.withRateLimit(NOT_OFFERED_DELAY_NANOS) : load;
-    }
-
-    /**
-     * Whether the call may choose a rate-limited target; one that was sent before may choose all.
-     */
-    private boolean isOffered(TargetLoad load) {
-        Target target = context.targets().find(load.id()).orElseThrow();
-        OptionalDouble limit = context.targets().rateLimit(target);
-        return sends > 0
-                || limit.isEmpty()
-                || RateLimitedTargetSample.includes(
-                        load.id(),
-                        limit.getAsDouble(),
-                        context.network().rateLimits().fleetCallsPerSecond(),
-                        call.id().hashCode() ^ arrivedAt);
-    }
-
     private List<TargetLoad> withoutOwnCalls(List<TargetLoad> loads) {
         LoadTracker tracker = context.network().targetLoads();
         return loads.stream().filter(load -> tracker.ownCalls(load.id()).online() == 0).toList();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
@@ -1,6 +1,7 @@
 package org.sardinelift.gateway.call;
 
 import io.netty.channel.EventLoop;
+import java.util.List;
 import org.sardinelift.core.load.Placement;
 import org.sardinelift.core.load.RetryAfterSchedule;
 import org.sardinelift.core.peer.PeerRole;
@@ -20,6 +21,7 @@
  * @param retryTimes schedules the retries of refused callers
  * @param headers selects the headers to forward
  * @param stallDetector finds targets that have stopped sending
+ * @param candidateFilters narrow the targets of a call, in order
  */
 record ForwardingContext(
         GatewaySettings settings,
@@ -30,7 +32,8 @@
         Placement placement,
         RetryAfterSchedule retryTimes,
         ForwardedHeaders headers,
-        StallDetector stallDetector) {
+        StallDetector stallDetector,
+        List<CandidateFilter> candidateFilters) {
     private static final double NANOS_PER_SECOND = 1e9;
 
     long now() {
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/RateLimitedTargetFilter.java
@@ -0,0 +1,49 @@
+package org.sardinelift.gateway.call;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalDouble;
+import org.sardinelift.core.load.RateLimitedTargetSample;
+import org.sardinelift.core.load.TargetLoad;
+import org.sardinelift.gateway.peer.RateLimitReports;
+
+/**
+ * Offers each rate-limited target to a sample of the calls only, so that instances don't all use
+ * the same one. A call that was sent before may choose all.
+ */
+final class RateLimitedTargetFilter implements CandidateFilter {
+    /** Longer than any caller waits, for targets that the call isn't offered. */
+    private static final long NOT_OFFERED_DELAY_NANOS = Duration.ofMinutes(1).toNanos();
+
+    private final TargetTable targets;
+    private final RateLimitReports rateLimits;
+
+    RateLimitedTargetFilter(TargetTable targets, RateLimitReports rateLimits) {
+        this.targets = targets;
+        this.rateLimits = rateLimits;
+    }
+
+    @Override
+    public List<TargetLoad> filter(ForwardedCall call, List<TargetLoad> loads, long now) {
+        return rateLimits.limits().isEmpty()
+                ? loads
+                : loads.stream()
+                        .map(
+                                load ->
+                                        isOffered(call, load)
+                                                ? load
+                                                : load.withRateLimit(NOT_OFFERED_DELAY_NANOS))
+                        .toList();
+    }
+
+    private boolean isOffered(ForwardedCall call, TargetLoad load) {
+        OptionalDouble limit = targets.rateLimit(targets.find(load.id()).orElseThrow());
+        return call.sends() > 0
+                || limit.isEmpty()
+                || RateLimitedTargetSample.includes(
+                        load.id(),
+                        limit.getAsDouble(),
+                        rateLimits.fleetCallsPerSecond(),
+                        call.call().id().hashCode() ^ call.arrivedAt());
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResumeGate.java
@@ -19,20 +19,21 @@
  * whose version isn't known or has gone: no target checks which version wrote the events before.
  * Used on the event loop.
  */
-final class ResumeGate {
+final class ResumeGate implements CallGate {
     /** Time in which a keeper that is restarting or cut off may be back. */
     private static final Duration KEEPER_RETURN_TIME = Duration.ofSeconds(1);
 
     private final ForwardingContext context;
-    private final CrashGate next;
+    private final CallGate next;
 
-    ResumeGate(ForwardingContext context, CrashGate next) {
+    ResumeGate(ForwardingContext context, CallGate next) {
         this.context = context;
         this.next = next;
     }
 
     /** Passes a call on, once it is known where a resumed stream may go on, or refuses it. */
-    void admit(HttpExchange exchange, ForwardedCall forwardedCall) {
+    @Override
+    public void admit(HttpExchange exchange, ForwardedCall forwardedCall) {
         AdmittedCall call = forwardedCall.call();
         if (!call.isResumedStream()) {
             next.admit(exchange, forwardedCall);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -51,6 +52,7 @@
     private final Duration typicalCallTime;
     private final Map<String, Target> targets = new HashMap<>();
     private final Set<Incarnation> leavingIncarnations = new LinkedHashSet<>();
+    private final List<TargetExclusion> exclusions = new ArrayList<>();
     private DeathListener deathListener = (request, target) -> {};
 
     /** Is notified of targets that died. */
@@ -205,6 +207,19 @@
         deathListener = listener;
     }
 
+    /**
+     * Adds a reason for which targets get no requests; before the start.
+     *
+     * @param exclusion the reason
+     */
+    public void addExclusion(TargetExclusion exclusion) {
+        exclusions.add(exclusion);
+    }
+
+    private boolean isExcluded(Target target) {
+        return exclusions.stream().anyMatch(each -> each.isExcluded(target.registration));
+    }
+
     /**
      * Replaces the targets by those that are registered now.
      *
@@ -306,7 +321,10 @@
     }
 
     private boolean isAvailable(Target target, long now) {
-        return !isLeaving(target) && !target.isMisdirected && target.health.isUsable(now);
+        return !isLeaving(target)
+                && !target.isMisdirected
+                && !isExcluded(target)
+                && target.health.isUsable(now);
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -28,7 +28,6 @@
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.core.plan.ServingPlan;
-import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.TargetTable;
@@ -84,6 +83,7 @@
     private final PlanFeed plans;
     private final HeaderNames headers;
     private final JobAssignment assignment;
+    private final ItemTargets itemTargets;
     private final ItemSchedule schedule =
             ItemSchedule.of(INITIAL_EVENTS_PER_ITEM, INITIAL_EVENT_INTERVAL, RESULT_DELIVERY_TIME);
     private final BatchSlotSelector slotSelector;
@@ -113,6 +113,7 @@
         this.loop = loop;
         this.plans = plans;
         this.headers = headers;
+        this.itemTargets = new ItemTargets(table);
         this.slotSelector =
                 BatchSlotSelector.of(
                         zone, FREE_SLOT_SETTLE_TIME, OTHER_ZONE_SETTLE_TIME, NEXT_START_DELAY);
@@ -337,7 +338,8 @@
         if (currentPlan == null) {
             return;
         }
-        startOverItemsOfGoneVersions(currentPlan.plan());
+        itemTargets.startOverItemsOfGoneVersions(
+                scheduledItems(currentPlan.plan()), currentPlan.plan());
         Set<TargetGroup> busyGroups = new HashSet<>();
         Optional<ItemSchedule.ScheduledItem> next = selectNext(currentPlan.plan(), busyGroups, now);
         while (next.isPresent()) {
@@ -349,65 +351,12 @@
     private Optional<ItemSchedule.ScheduledItem> selectNext(
             ServingPlan plan, Set<TargetGroup> busyGroups, long now) {
         return schedule.selectNext(
-                scheduledItems(plan).filter(each -> !busyGroups.contains(targetGroup(each, plan))),
+                scheduledItems(plan)
+                        .filter(each -> !busyGroups.contains(itemTargets.group(each, plan))),
                 now,
                 System.currentTimeMillis());
     }
 
-    /** The targets that may run an item; one that has begun goes on at its software version. */
-    private TargetGroup targetGroup(ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
-        return scheduled
-                .item()
-                .softwareVersion()
-                .map(TargetGroup::ofVersion)
-                .orElseGet(() -> serviceGroup(scheduled, plan));
-    }
-
-    private static TargetGroup serviceGroup(
-            ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
-        String service =
-                plan.route(scheduled.job().spec().host(), scheduled.item().item().path())
-                        .flatMap(route -> route.selectService(hash(scheduled.item().item().id())))
-                        .orElse("");
-        return TargetGroup.ofService(service);
-    }
-
-    /** Discards output that no target can go on with, or only one of a service now left. */
-    private void startOverItemsOfGoneVersions(ServingPlan plan) {
-        Map<SoftwareVersion, Boolean> replaced = new HashMap<>();
-        scheduledItems(plan)
-                .filter(scheduled -> !scheduled.item().isRunning())
-                .filter(scheduled -> !canGoOn(scheduled, plan, replaced))
-                .toList()
-                .forEach(
-                        scheduled ->
-                                startOver(scheduled, "no target that may go on has its version"));
-    }
-
-    private boolean canGoOn(
-            ItemSchedule.ScheduledItem scheduled,
-            ServingPlan plan,
-            Map<SoftwareVersion, Boolean> replaced) {
-        return scheduled.item().softwareVersion().stream()
-                .allMatch(
-                        version ->
-                                !replaced.computeIfAbsent(version, table::isReplaced)
-                                        && version.service()
-                                                .equals(serviceGroup(scheduled, plan).service()));
-    }
-
-    private static void startOver(ItemSchedule.ScheduledItem scheduled, String reason) {
-        ItemProgress item = scheduled.item();
-        LogEvent.of("item.started_over")
-                .with("job", scheduled.job().spec().id())
-                .with("item", item.item().id())
-                .with("version", item.softwareVersion().map(SoftwareVersion::version).orElse(""))
-                .with("events", item.eventCount())
-                .with("reason", reason)
-                .info();
-        item.discardOutput();
-    }
-
     private Stream<JobProgress> assignedJobs() {
         return assignedJobIds.stream().flatMap(id -> jobs.find(id).stream());
     }
@@ -435,7 +384,7 @@
     /** Starts an item if there is a slot for it; otherwise returns the targets that have none. */
     private Optional<TargetGroup> tryStart(
             ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
-        TargetGroup group = targetGroup(scheduled, plan);
+        TargetGroup group = itemTargets.group(scheduled, plan);
         Optional<TargetLoad> slot = selectSlot(group, now);
         if (slot.isEmpty() && group.softwareVersion().isPresent()) {
             slot = selectSlotToStartOver(scheduled, plan, now);
@@ -466,9 +415,9 @@
         if (!schedule.isStartingOverDue(scheduled.item(), now)) {
             return Optional.empty();
         }
-        Optional<TargetLoad> slot = selectSlot(serviceGroup(scheduled, plan), now);
+        Optional<TargetLoad> slot = selectSlot(itemTargets.serviceGroup(scheduled, plan), now);
         if (slot.isPresent()) {
-            startOver(scheduled, "its version has no free slot");
+            itemTargets.startOver(scheduled, "its version has no free slot");
         }
         return slot;
     }
--- /dev/null
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
@@ -0,0 +1,79 @@
+package org.sardinelift.gateway.job;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.sardinelift.core.joblog.ItemProgress;
+import org.sardinelift.core.joblog.ItemSchedule.ScheduledItem;
+import org.sardinelift.core.plan.ServingPlan;
+import org.sardinelift.core.plan.SoftwareVersion;
+import org.sardinelift.core.plan.TargetGroup;
+import org.sardinelift.gateway.call.TargetTable;
+import org.sardinelift.runtime.log.LogEvent;
+
+/**
+ * Determines which targets may run a batch item: those of its service, and once output is kept of
+ * it those with the software version that wrote the output. On the event loop.
+ */
+final class ItemTargets {
+    private final TargetTable table;
+
+    ItemTargets(TargetTable table) {
+        this.table = table;
+    }
+
+    /** The targets that may run an item; one that has begun goes on at its software version. */
+    TargetGroup group(ScheduledItem scheduled, ServingPlan plan) {
+        return scheduled
+                .item()
+                .softwareVersion()
+                .map(TargetGroup::ofVersion)
+                .orElseGet(() -> serviceGroup(scheduled, plan));
+    }
+
+    /** The targets of an item's service, whatever their software version. */
+    TargetGroup serviceGroup(ScheduledItem scheduled, ServingPlan plan) {
+        String service =
+                plan.route(scheduled.job().spec().host(), scheduled.item().item().path())
+                        .flatMap(
+                                route ->
+                                        route.selectService(
+                                                ItemRunner.hash(scheduled.item().item().id())))
+                        .orElse("");
+        return TargetGroup.ofService(service);
+    }
+
+    /** Discards output that no target can go on with, or only one of a service now left. */
+    void startOverItemsOfGoneVersions(Stream<ScheduledItem> items, ServingPlan plan) {
+        Map<SoftwareVersion, Boolean> replaced = new HashMap<>();
+        items.filter(scheduled -> !scheduled.item().isRunning())
+                .filter(scheduled -> !canGoOn(scheduled, plan, replaced))
+                .toList()
+                .forEach(
+                        scheduled ->
+                                startOver(scheduled, "no target that may go on has its version"));
+    }
+
+    private boolean canGoOn(
+            ScheduledItem scheduled, ServingPlan plan, Map<SoftwareVersion, Boolean> replaced) {
+        return scheduled.item().softwareVersion().stream()
+                .allMatch(
+                        version ->
+                                !replaced.computeIfAbsent(version, table::isReplaced)
+                                        && version.service()
+                                                .equals(serviceGroup(scheduled, plan).service()));
+    }
+
+    /** Discards the output of an item, so that any target of its service may run it. */
+    void startOver(ScheduledItem scheduled, String reason) {
+        ItemProgress item = scheduled.item();
+        LogEvent.of("item.started_over")
+                .with("job", scheduled.job().spec().id())
+                .with("item", item.item().id())
+                .with("version", item.softwareVersion().map(SoftwareVersion::version).orElse(""))
+                .with("events", item.eventCount())
+                .with("reason", reason)
+                .info();
+        item.discardOutput();
+    }
+}
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/CrashReports.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/CrashReports.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.poison.CrashCauseLedger;
 import org.sardinelift.core.poison.CrashJudgement;
 import org.sardinelift.core.poison.RefusedTrait;
@@ -21,7 +22,7 @@
  * reports: deaths, cleared traits and claims of trials as they happen, refused traits in full
  * reports, so that an instance that has just started knows them too. On the event loop.
  */
-public final class CrashReports {
+public final class CrashReports implements ReportSection {
     /** Time for which reports repeat a change, for instances that missed one. */
     private static final Duration REPEAT_PERIOD = ReportBuilder.CHANGE_REPEAT_PERIOD;
 
@@ -193,8 +194,8 @@
         return ledger.isTrialWinner(traits);
     }
 
-    /** Adds to a report what the other instances need to know. */
-    void addTo(PeerReport report, boolean isFull, long now) {
+    @Override
+    public void addTo(PeerReport report, boolean isFull, long now) {
         dropRepeated(deaths, now);
         dropRepeated(soundTraits, now);
         dropRepeated(claimedTrials, now);
@@ -211,8 +212,8 @@
         changes.values().removeIf(at -> now - at >= REPEAT_PERIOD.toNanos());
     }
 
-    /** Takes over what another instance reports. */
-    void onReport(PeerReport report) {
+    @Override
+    public void onReport(Peer peer, PeerReport report, long now) {
         String source = report.getInstance();
         if (report.isSetDeaths()) {
             report.getDeaths().forEach(death -> onReportedDeath(death, source));
@@ -226,7 +227,6 @@
                                 logCleared(trait, source);
                             });
         }
-        long now = System.nanoTime();
         if (report.isSetTrialTraits()) {
             report.getTrialTraits().forEach(trait -> ledger.onTrialClaim(trait, source, now));
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -9,7 +9,6 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -17,14 +16,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
-import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.peer.PeerTable;
-import org.sardinelift.core.quota.AdmittedCount;
 import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.core.quota.QuotaBounds;
 import org.sardinelift.core.resume.TargetListAge;
@@ -34,8 +30,6 @@
 import org.sardinelift.protocol.generated.PeerAddress;
 import org.sardinelift.protocol.generated.PeerReport;
 import org.sardinelift.protocol.generated.StreamMessage;
-import org.sardinelift.protocol.generated.TargetUse;
-import org.sardinelift.protocol.generated.TeamCount;
 import org.sardinelift.runtime.log.LogEvent;
 
 /**
@@ -86,15 +80,15 @@
     private final NodeSettings settings;
     private final EventLoop loop;
     private final PeerTable peers;
-    private final LoadTracker targetLoads =
-            LoadTracker.create(PEER_SILENCE_TIMEOUT.multipliedBy(2), UNREPORTED_LOAD_LIFETIME);
-    private final FleetQuota quota =
-            FleetQuota.create(
-                    new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE), System.nanoTime());
+    private final TargetUseReports uses =
+            new TargetUseReports(PEER_SILENCE_TIMEOUT.multipliedBy(2), UNREPORTED_LOAD_LIFETIME);
+    private final TeamQuotaReports quotas =
+            new TeamQuotaReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final RateLimitReports rateLimits =
             new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final CrashReports crashes;
     private final StreamExchange streams;
+    private final List<ReportSection> sections;
     private final StoreReadState storeReadState;
     private final ReportBuilder reportBuilder;
     private final ReportRelay relay;
@@ -180,16 +174,8 @@
         this.streams =
                 new StreamExchange(
                         settings.instance(), loop, this::sendStreams, this::isTargetListCurrent);
-        this.reportBuilder =
-                new ReportBuilder(
-                        settings,
-                        role,
-                        storeReadState,
-                        peers,
-                        targetLoads,
-                        quota,
-                        rateLimits,
-                        crashes);
+        this.sections = List.of(uses, quotas, rateLimits, streams, crashes);
+        this.reportBuilder = new ReportBuilder(settings, role, storeReadState, peers, sections);
         this.relay = new ReportRelay(settings, role, peers, loop, this::sendRelayed);
         this.channel =
                 ReportChannel.bind(
@@ -258,7 +244,7 @@
      * @return the tracker
      */
     public LoadTracker targetLoads() {
-        return targetLoads;
+        return uses.loads();
     }
 
     /**
@@ -267,7 +253,7 @@
      * @return the quota
      */
     public FleetQuota quota() {
-        return quota;
+        return quotas.quota();
     }
 
     /**
@@ -376,10 +362,7 @@
         if (name.equals(settings.instance())) {
             return;
         }
-        if (peerRole == PeerRole.GATEWAY) {
-            quota.onPeerAdded(name, now);
-        }
-        rateLimits.onPeerAdded(name, now);
+        sections.forEach(section -> section.onPeerAdded(name, peerRole, now));
         if (peers.onAddress(name, address.host(), address.port(), now)) {
             introduceTo(address.host(), address.port());
         }
@@ -405,17 +388,12 @@
         long now = System.nanoTime();
         detectProcessPause(now);
         updateStoreReaders(now);
-        quota.detectSilentPeers(now);
-        rateLimits.tick(peers.all().stream().filter(peer -> peers.isLive(peer, now)).toList(), now);
-        targetLoads.expire(now);
         for (String gone : peers.removeSilent(now)) {
-            quota.onPeerRemoved(gone);
-            rateLimits.onPeerRemoved(gone);
-            streams.onPeerRemoved(gone);
+            sections.forEach(section -> section.onPeerRemoved(gone));
             LogEvent.of("peer.forgotten").with("peer", gone).info();
         }
         detectLostPeers(now);
-        streams.tick(peers.stayingPeers(now), now);
+        sections.forEach(section -> section.tick(peers, now));
         if (now - fleetReportSentAt >= OTHER_ZONE_HEARTBEAT_INTERVAL.toNanos()) {
             reportToFleet();
         } else if (now - zoneReportSentAt >= HEARTBEAT_INTERVAL.toNanos()) {
@@ -458,8 +436,7 @@
         long monotonicMs = TimeUnit.NANOSECONDS.toMillis(now - lastMonotonicNanos);
         long pauseMs = wallClockMs - lastWallClockMs - monotonicMs;
         if (pauseMs > MIN_PROCESS_PAUSE.toMillis()) {
-            quota.onPause(now);
-            rateLimits.onPause(now);
+            sections.forEach(section -> section.onPause(now));
             resumedAt = now;
             LogEvent.of("process.paused").with("standstill_ms", pauseMs).warn();
         }
@@ -573,16 +550,10 @@
         if (report.isSetMembers()) {
             report.getMembers().forEach(member -> onMember(member, now));
         }
-        targetLoads.onReport(peer.name(), toTargetCalls(report), now);
-        if (peer.role() == PeerRole.GATEWAY) {
-            onTeamCounts(peer, report, now);
-        }
-        rateLimits.onReport(peer, report, now);
-        streams.onReport(peer, report);
+        sections.forEach(section -> section.onReport(peer, report, now));
         if (hasJoined || report.isIntroduce()) {
             introduceTo(peer.host(), peer.port());
         }
-        crashes.onReport(report);
         if (peer.zone().equals(settings.zone())) {
             updateStoreReaders(now);
         }
@@ -596,32 +567,11 @@
         }
     }
 
-    private void onTeamCounts(Peer peer, PeerReport report, long now) {
-        long ageNanos = TimeUnit.MILLISECONDS.toNanos(report.getAgeMs());
-        Map<String, AdmittedCount> counts =
-                report.getTeams().stream()
-                        .collect(
-                                Collectors.toMap(
-                                        TeamCount::getTeam,
-                                        team -> new AdmittedCount(team.getAdmitted(), ageNanos),
-                                        (first, second) -> second));
-        quota.onReport(peer.name(), peer.incarnation(), ageNanos, counts, now);
-    }
-
     private void introduceTo(String host, int port) {
         channel.send(
                 channel.serialize(reportBuilder.buildFull()), new InetSocketAddress(host, port));
     }
 
-    private static Map<String, TargetCalls> toTargetCalls(PeerReport report) {
-        return report.getUses().stream()
-                .collect(
-                        Collectors.toMap(
-                                TargetUse::getTarget,
-                                use -> new TargetCalls(use.getOnline(), use.getBatch()),
-                                TargetCalls::plus));
-    }
-
     private static Peer toPeer(PeerReport report, long now) {
         return new Peer(
                 report.getInstance(),
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
@@ -9,6 +9,8 @@
 import java.util.stream.Collectors;
 import org.sardinelift.core.load.CallRate;
 import org.sardinelift.core.peer.Peer;
+import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.core.peer.PeerTable;
 import org.sardinelift.core.quota.AdmittedCount;
 import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.core.quota.QuotaBounds;
@@ -21,7 +23,7 @@
  * by reports: limits and requests to limited targets as they change, all limits in full reports, so
  * that an instance that has just started knows them too. On the event loop.
  */
-public final class RateLimitReports {
+public final class RateLimitReports implements ReportSection {
     /** Keeps a report far below the longest datagram. */
     private static final int MAX_REPORTED_TARGETS = 300;
 
@@ -70,35 +72,36 @@
         return fleetCallsPerSecond;
     }
 
-    /** An instance was found in the store; it counts as silent until it reports. */
-    void onPeerAdded(String name, long now) {
+    @Override
+    public void onPeerAdded(String name, PeerRole role, long now) {
         quota.onPeerAdded(name, now);
     }
 
-    /** An instance has stopped for good. */
-    void onPeerRemoved(String name) {
+    @Override
+    public void onPeerRemoved(String name) {
         quota.onPeerRemoved(name);
         callsPerSecondOfPeers.remove(name);
     }
 
-    /** This process stood still while others went on. */
-    void onPause(long now) {
+    @Override
+    public void onPause(long now) {
         quota.onPause(now);
     }
 
-    /** Detects silent peers; to be called several times per silence timeout. */
-    void tick(List<Peer> livePeers, long now) {
+    @Override
+    public void tick(PeerTable peers, long now) {
         quota.detectSilentPeers(now);
         fleetCallsPerSecond =
                 ownCalls.perSecond(now)
-                        + livePeers.stream()
+                        + peers.all().stream()
+                                .filter(peer -> peers.isLive(peer, now))
                                 .map(Peer::name)
                                 .mapToDouble(name -> callsPerSecondOfPeers.getOrDefault(name, 0.0))
                                 .sum();
     }
 
-    /** Adds to a report what the other instances need to know. */
-    void addTo(PeerReport report, boolean isFull, long now) {
+    @Override
+    public void addTo(PeerReport report, boolean isFull, long now) {
         report.setCallsPerSecond(ownCalls.perSecond(now));
         List<LimitedTarget> targets =
                 limits.reports(isFull, now).stream()
@@ -123,8 +126,8 @@
         return limited;
     }
 
-    /** Takes over what another instance reports. */
-    void onReport(Peer peer, PeerReport report, long now) {
+    @Override
+    public void onReport(Peer peer, PeerReport report, long now) {
         callsPerSecondOfPeers.put(peer.name(), report.getCallsPerSecond());
         List<LimitedTarget> targets =
                 report.isSetLimitedTargets() ? report.getLimitedTargets() : List.of();
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/ReportBuilder.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/ReportBuilder.java
@@ -2,20 +2,14 @@
 
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.peer.PeerTable;
-import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.protocol.generated.PeerAddress;
 import org.sardinelift.protocol.generated.PeerReport;
-import org.sardinelift.protocol.generated.TargetUse;
-import org.sardinelift.protocol.generated.TeamCount;
 
 /** Builds the reports of this instance; on the event loop. */
 final class ReportBuilder {
@@ -32,14 +26,9 @@
     private final PeerRole role;
     private final PeerNetwork.StoreReadState storeReadState;
     private final PeerTable peers;
-    private final LoadTracker targetLoads;
-    private final FleetQuota quota;
-    private final RateLimitReports rateLimits;
-    private final CrashReports crashes;
+    private final List<ReportSection> sections;
     private final long incarnation = System.currentTimeMillis();
     private final long startedAt = System.nanoTime();
-    private final Map<String, Long> reportedCounts = new HashMap<>();
-    private final Map<String, Long> countChangedAt = new HashMap<>();
     private Supplier<Collection<Long>> assignedJobsSupplier = List::of;
     private long sequence;
     private boolean isLeaving;
@@ -49,18 +38,12 @@
             PeerRole role,
             PeerNetwork.StoreReadState storeReadState,
             PeerTable peers,
-            LoadTracker targetLoads,
-            FleetQuota quota,
-            RateLimitReports rateLimits,
-            CrashReports crashes) {
+            List<ReportSection> sections) {
         this.settings = settings;
         this.role = role;
         this.storeReadState = storeReadState;
         this.peers = peers;
-        this.targetLoads = targetLoads;
-        this.quota = quota;
-        this.rateLimits = rateLimits;
-        this.crashes = crashes;
+        this.sections = sections;
     }
 
     /** Sets the supplier of hashes of the jobs that run here. */
@@ -105,42 +88,12 @@
         report.setTargetsAgeMs(ageMs(storeReadState.targetsReadAt(), now));
         report.setTargetsChanged(storeReadState.targetsRevision());
         report.setLeaving(isLeaving);
-        report.setKeepsStreams(true);
-        report.setUses(
-                targetLoads.ownCallsByTarget().entrySet().stream()
-                        .map(
-                                calls ->
-                                        new TargetUse(
-                                                calls.getKey(),
-                                                calls.getValue().online(),
-                                                calls.getValue().batch()))
-                        .toList());
-        report.setTeams(teamCounts(isFull, now));
         report.setJobs(List.copyOf(assignedJobsSupplier.get()));
-        rateLimits.addTo(report, isFull, now);
-        crashes.addTo(report, isFull, now);
+        sections.forEach(section -> section.addTo(report, isFull, now));
         return report;
     }
 
     private static long ageMs(long readAt, long now) {
         return readAt == 0 ? NEVER_READ_AGE_MS : TimeUnit.NANOSECONDS.toMillis(now - readAt);
     }
-
-    private List<TeamCount> teamCounts(boolean allTeams, long now) {
-        quota.admittedCounts()
-                .forEach(
-                        (team, count) -> {
-                            if (!count.equals(reportedCounts.put(team, count))) {
-                                countChangedAt.put(team, now);
-                            }
-                        });
-        return reportedCounts.entrySet().stream()
-                .filter(
-                        count ->
-                                allTeams
-                                        || now - countChangedAt.get(count.getKey())
-                                                < CHANGE_REPEAT_PERIOD.toNanos())
-                .map(count -> new TeamCount(count.getKey(), count.getValue()))
-                .toList();
-    }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
@@ -16,6 +16,7 @@
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import org.sardinelift.core.peer.Peer;
+import org.sardinelift.core.peer.PeerTable;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.resume.OriginInquiry;
@@ -38,7 +39,7 @@
  * Announces to the keepers of streams which software version begins them, and asks them when a
  * caller resumes a stream that this instance doesn't know. On the event loop.
  */
-public final class StreamExchange {
+public final class StreamExchange implements ReportSection {
     /** Wait for further streams of the same keeper; the first event takes longer. */
     private static final Duration ANNOUNCEMENT_DELAY = Duration.ofMillis(2);
 
@@ -138,6 +139,16 @@
         announceRecentStreams(now);
     }
 
+    @Override
+    public void addTo(PeerReport report, boolean isFull, long now) {
+        report.setKeepsStreams(true);
+    }
+
+    @Override
+    public void onReport(Peer peer, PeerReport report, long now) {
+        onReport(peer, report);
+    }
+
     /** A peer reported whether it keeps streams. */
     void onReport(Peer peer, PeerReport report) {
         if (report.isKeepsStreams()) {
@@ -150,11 +161,16 @@
         }
     }
 
-    /** A peer has gone for good. */
-    void onPeerRemoved(String name) {
+    @Override
+    public void onPeerRemoved(String name) {
         keepingPeers.remove(name);
     }
 
+    @Override
+    public void tick(PeerTable peers, long now) {
+        tick(peers.stayingPeers(now), now);
+    }
+
     /** Time has passed; live peers that stay may keep streams. */
     void tick(Collection<Peer> stayingPeers, long now) {
         candidates =
