--- a/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
+++ b/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** One version of the configuration that a gateway applies to its calls. Immutable. */
@@ -15,18 +16,21 @@
     private final Map<String, RateLimit> rateLimits;
     private final Map<String, String> teamByKey;
     private final RequestLimits requestLimits;
+    private final Map<String, ServicePlan> services;
 
     private ServingPlan(
             long version,
             Map<String, List<RoutePlan>> routesByHost,
             Map<String, RateLimit> teams,
             Map<String, String> teamByKey,
-            RequestLimits requestLimits) {
+            RequestLimits requestLimits,
+            Map<String, ServicePlan> services) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.rateLimits = teams;
         this.teamByKey = teamByKey;
         this.requestLimits = requestLimits;
+        this.services = services;
     }
 
     /**
@@ -53,7 +57,35 @@
                         .collect(Collectors.groupingBy(RoutePlan::host));
         Map<String, RateLimit> byName = new HashMap<>();
         teams.forEach(team -> byName.put(team.name(), team));
-        return new ServingPlan(version, byHost, byName, Map.copyOf(teamByKey), requestLimits);
+        return new ServingPlan(
+                version, byHost, byName, Map.copyOf(teamByKey), requestLimits, Map.of());
+    }
+
+    /**
+     * Returns the plan with what it says of the targets of services.
+     *
+     * @param plans plans of the services
+     * @return a copy with these plans
+     */
+    public ServingPlan withServices(List<ServicePlan> plans) {
+        Map<String, ServicePlan> byName =
+                plans.stream()
+                        .collect(
+                                Collectors.toMap(
+                                        ServicePlan::name,
+                                        Function.identity(),
+                                        (first, second) -> second));
+        return new ServingPlan(version, routesByHost, rateLimits, teamByKey, requestLimits, byName);
+    }
+
+    /**
+     * Returns what the configuration says of the targets of a service.
+     *
+     * @param name name of the service
+     * @return its plan, or empty if there is none
+     */
+    public Optional<ServicePlan> service(String name) {
+        return Optional.ofNullable(services.get(name));
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param typicalFirstEvent usual time from a send to the first event
  * @param typicalCallTime usual time that an online call occupies a slot
  * @param connectionIdleTimeout longest idle time of a connection to a target that is reused
+ * @param hasFairShares whether calls are admitted by fair shares of the teams in a shortage
  */
 public record GatewaySettings(
         NodeSettings node,
@@ -27,7 +28,8 @@
         Duration stallTimeout,
         Duration typicalFirstEvent,
         Duration typicalCallTime,
-        Duration connectionIdleTimeout) {
+        Duration connectionIdleTimeout,
+        boolean hasFairShares) {
 
     /**
      * Reads the settings.
@@ -53,6 +55,7 @@
                 // Engine steps of a usual response with all slots in use.
                 node.millis("callMs", 750),
                 // Well under the idle time after which targets close connections.
-                node.millis("connectionIdleMs", 2_000));
+                node.millis("connectionIdleMs", 2_000),
+                node.object("admission").flag("fairShares", false));
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/NodeSettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.sardinelift.settings.SettingsNode;
 
 /**
@@ -16,6 +17,9 @@
  * @param storeTimeout longest silence of the store before a call fails
  * @param storeCallsPerSecond limit on this instance's calls to the store
  * @param gracePeriod time between the request to stop and the kill
+ * @param maxInstances largest number of instances that the deployment may have
+ * @param evacuationTime time within which an evacuation of a zone must take effect; empty if
+ *     evacuations are not read
  */
 public record NodeSettings(
         String instance,
@@ -25,7 +29,9 @@
         Endpoint storeAddress,
         Duration storeTimeout,
         int storeCallsPerSecond,
-        Duration gracePeriod) {
+        Duration gracePeriod,
+        int maxInstances,
+        Optional<Duration> evacuationTime) {
 
     /**
      * Reads the settings.
@@ -45,7 +51,14 @@
                 store.millis("timeoutMs", 800),
                 // A tenth of a small store's reads; a dozen instances together stay within them.
                 store.integer("callsPerSecond", 60, 1, 100_000),
-                node.millis("graceMs", 8_000));
+                node.millis("graceMs", 8_000),
+                node.object("fleet").integer("maxInstances", 40, 1, 100_000),
+                evacuationTime(node));
+    }
+
+    private static Optional<Duration> evacuationTime(SettingsNode node) {
+        Duration time = node.object("evacuation").millis("applyMs", 0);
+        return time.isZero() ? Optional.empty() : Optional.of(time);
     }
 
     private static String host(String address) {
--- a/gateway/src/main/java/org/sardinelift/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/PlatformAdapter.java
@@ -95,6 +95,14 @@
      */
     Optional<String> retirementKind();
 
+    /**
+     * Kind of the objects with which operators request that a zone gets nothing more; each has the
+     * name of its zone.
+     *
+     * @return the kind, or empty if the platform has no such requests
+     */
+    Optional<String> evacuationKind();
+
     /**
      * Request to the store that reports the progress of a retirement.
      *
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -78,7 +79,9 @@
                 new Endpoint("127.0.0.1", 1),
                 Duration.ofSeconds(1),
                 1,
-                Duration.ofSeconds(8));
+                Duration.ofSeconds(8),
+                5,
+                Optional.empty());
     }
 
     private <T> T onLoop(Callable<T> action) throws Exception {
@@ -236,7 +239,9 @@
                 usual.storeAddress(),
                 usual.storeTimeout(),
                 usual.storeCallsPerSecond(),
-                usual.gracePeriod());
+                usual.gracePeriod(),
+                usual.maxInstances(),
+                usual.evacuationTime());
     }
 
     private static boolean isLive(PeerNetwork network, String name) {
--- a/protocol/src/main/thrift/sardinelift.thrift
+++ b/protocol/src/main/thrift/sardinelift.thrift
@@ -257,7 +257,34 @@
 struct TargetUse {
   1: string target,
   2: i32 online,
-  3: i32 batch
+  3: i32 batch,
+  /** Tokens that these calls may hold in the target's memory; absent if they aren't counted. */
+  4: optional i64 tokens
+}
+
+/** Demand of one team for the targets of a service. */
+struct TeamDemand {
+  1: string team,
+  /** Slots that the calls which arrive here would occupy, averaged over the last second. */
+  2: double slots
+}
+
+/** Demand for the targets of a service at one gateway, told while they are short. */
+struct ServiceDemand {
+  1: string serviceName,
+  2: list<TeamDemand> teams,
+  /** Teams that are not named, and their demand together. */
+  3: i32 otherTeams,
+  4: double otherSlots
+}
+
+/** Availability zones whose targets get no requests, as listed by an instance. */
+struct EvacuationList {
+  1: list<string> zones,
+  /** Revision of the store at which they were listed. */
+  2: i64 revision,
+  /** Time since then. */
+  3: i64 ageMs
 }
 
 /** Calls of one team that an instance admitted since its start. */
@@ -299,7 +326,9 @@
   /** Requests that this instance has sent to it, counted while it is limited. */
   4: i64 sent,
   /** Time since the first of them. */
-  5: i64 sentSinceMs
+  5: i64 sentSinceMs,
+  /** How much longer the target is known to be cold; absent if it isn't. */
+  6: optional i64 coldLeftMs
 }
 
 /** A version of the software that runs on targets of a service. */
@@ -395,5 +424,9 @@
   /** If set, the datagram holds this message and no report. */
   26: optional StreamMessage streams,
   /** Whether the instance takes such messages. */
-  27: optional bool keepsStreams
+  27: optional bool keepsStreams,
+  /** Absent where evacuations aren't read. */
+  28: optional EvacuationList evacuations,
+  /** Services whose targets are short. */
+  29: optional list<ServiceDemand> demands
 }
