Read load headers with more fields than the known three

Targets of some services add how long work takes now. LoadHeader took exactly three fields, so on such a service no stated load was known at all: gateways knew only their own calls and those that peers reported. LoadHeaderTest.fieldsAfterTheKnownOnesDontHideTheCalls failed on the code before. The calls are read whatever follows; the work time is read for later use, if it is plausible.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -21,6 +21,8 @@
  * @param statedRate what the target states of the rate of requests that it takes
  * @param endsWithConnection whether the body has neither a length nor chunks
  * @param statedCalls calls running and waiting at the target, empty if it didn't state them
+ * @param workTimePercent how long work takes at the target now, percent of the usual time; empty if
+ *     it didn't state that
  */
 public record ResponseHead(
         int status,
@@ -31,7 +33,8 @@
         boolean isLeaving,
         StatedRate statedRate,
         boolean endsWithConnection,
-        OptionalInt statedCalls) {
+        OptionalInt statedCalls,
+        OptionalInt workTimePercent) {
     private static final int MISDIRECTED = 421;
     private static final int SUCCESS_CLASS = 2;
     private static final int STATUS_CLASS_SIZE = 100;
@@ -48,6 +51,7 @@
                     false,
                     new StatedRate.Unlimited(),
                     false,
+                    OptionalInt.empty(),
                     OptionalInt.empty());
 
     /**
@@ -60,6 +64,7 @@
      */
     public static ResponseHead read(
             int status, List<Map.Entry<String, String>> headers, HeaderNames names) {
+        LoadHeader load = LoadHeader.parse(value(headers, names.load()));
         return new ResponseHead(
                 status,
                 headers,
@@ -70,7 +75,8 @@
                 RateHeader.parse(values(headers, names.rateLimit())),
                 value(headers, "content-length") == null
                         && value(headers, "transfer-encoding") == null,
-                LoadHeader.parse(value(headers, names.load())));
+                load.calls(),
+                load.workTimePercent());
     }
 
     /**
