Prefer targets with an idle connection, and reuse recent ones for calls that must not be repeated

They may now take one that was idle for unrepeatableReuseMs at most (default 0: as before), and among free targets one that needs no connection counts as 1.5 calls less.

--- a/core/src/main/java/org/sardinelift/core/load/Placement.java
+++ b/core/src/main/java/org/sardinelift/core/load/Placement.java
@@ -23,6 +23,12 @@
  * twice while there is any capacity.
  */
 public final class Placement {
+    /**
+     * Calls on a target that delay another one as much as a new connection to it does: two network
+     * hops and the work of accepting it.
+     */
+    private static final double CONNECTION_COST_CALLS = 1.5;
+
     private final String zone;
     private final Duration margin;
 
@@ -116,7 +122,8 @@
     }
 
     private static double utilization(TargetLoad target) {
-        double calls = (target.calls().online() + target.calls().total()) / 2.0;
+        double connection = target.needsConnection() ? CONNECTION_COST_CALLS : 0;
+        double calls = (target.calls().online() + target.calls().total()) / 2.0 + connection;
         return calls / Math.max(1, target.slots())
                 + (double) target.timeToFirstEventNanos() / Duration.ofSeconds(1).toNanos();
     }
--- a/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
@@ -12,6 +12,7 @@
  *     nanoseconds
  * @param isRateLimited whether the target limits the rate of its requests
  * @param sendDelayNanos time until that limit allows another request, nanoseconds
+ * @param needsConnection whether the call would need a new connection to the target
  */
 public record TargetLoad(
         String id,
@@ -21,7 +22,42 @@
         long callNanos,
         long timeToFirstEventNanos,
         boolean isRateLimited,
-        long sendDelayNanos) {
+        long sendDelayNanos,
+        boolean needsConnection) {
+
+    /**
+     * Creates the load of a target, whatever the connections to it.
+     *
+     * @param id name of the target
+     * @param zone its availability zone
+     * @param slots calls that it runs at once
+     * @param calls calls on it
+     * @param callNanos time that a call occupies a slot, nanoseconds
+     * @param timeToFirstEventNanos time from sending a call to its first event if a slot is free,
+     *     nanoseconds
+     * @param isRateLimited whether the target limits the rate of its requests
+     * @param sendDelayNanos time until that limit allows another request, nanoseconds
+     */
+    public TargetLoad(
+            String id,
+            String zone,
+            int slots,
+            TargetCalls calls,
+            long callNanos,
+            long timeToFirstEventNanos,
+            boolean isRateLimited,
+            long sendDelayNanos) {
+        this(
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                isRateLimited,
+                sendDelayNanos,
+                false);
+    }
 
     /**
      * Returns the load of a target that limits the rate of its requests.
@@ -31,7 +67,33 @@
      */
     public TargetLoad withRateLimit(long delayNanos) {
         return new TargetLoad(
-                id, zone, slots, calls, callNanos, timeToFirstEventNanos, true, delayNanos);
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                true,
+                delayNanos,
+                needsConnection);
+    }
+
+    /**
+     * Returns the load of a target to which the call would need a new connection.
+     *
+     * @return the load
+     */
+    public TargetLoad withNewConnection() {
+        return new TargetLoad(
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                isRateLimited,
+                sendDelayNanos,
+                true);
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
@@ -16,6 +16,9 @@
  * @param typicalFirstEvent usual time from a send to the first event
  * @param typicalCallTime usual time that an online call occupies a slot
  * @param connectionIdleTimeout longest idle time of a connection to a target that is reused
+ * @param unrepeatableReuseTime longest idle time of a connection over which a call is sent that
+ *     must not be repeated; if it is 0, such calls use new connections only, and connections have
+ *     no part in the choice of a target
  * @param hasFairShares whether calls are admitted by fair shares of the teams in a shortage
  */
 public record GatewaySettings(
@@ -29,6 +32,7 @@
         Duration typicalFirstEvent,
         Duration typicalCallTime,
         Duration connectionIdleTimeout,
+        Duration unrepeatableReuseTime,
         boolean hasFairShares) {
 
     /**
@@ -56,6 +60,7 @@
                 node.millis("callMs", 750),
                 // Well under the idle time after which targets close connections.
                 node.millis("connectionIdleMs", 2_000),
+                node.millis("unrepeatableReuseMs", 0),
                 node.object("admission").flag("fairShares", false));
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -1,6 +1,7 @@
 package org.sardinelift.gateway.call;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.List;
 import org.sardinelift.core.load.Placement;
 import org.sardinelift.core.load.RetryAfterSchedule;
@@ -53,13 +54,25 @@
                         RetryAfterSchedule.create(),
                         new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders()),
                         new StallDetector(loop),
-                        List.of(
-                                new SettledVersionFilter(table, network.streams().history()),
-                                new RateLimitedTargetFilter(table, network.rateLimits())));
+                        candidateFilters(settings, targetClient, table, network));
         JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
         return new CallPipeline(new CallHandler(context, plans, adapter, jobs));
     }
 
+    private static List<CandidateFilter> candidateFilters(
+            GatewaySettings settings,
+            HttpClient targetClient,
+            TargetTable table,
+            PeerNetwork network) {
+        List<CandidateFilter> filters = new ArrayList<>();
+        filters.add(new SettledVersionFilter(table, network.streams().history()));
+        filters.add(new RateLimitedTargetFilter(table, network.rateLimits()));
+        if (!settings.unrepeatableReuseTime().isZero()) {
+            filters.add(new ConnectionFilter(table, targetClient));
+        }
+        return filters;
+    }
+
     /**
      * Handles callers' requests.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -285,7 +285,7 @@
                 headers,
                 exchange.body(),
                 timeLeft(now).plusMillis(1),
-                !call.route().mayRepeat());
+                context.maxConnectionIdle(call.route()));
     }
 
     /** Checks whether the target has been silent for too long. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
@@ -1,10 +1,12 @@
 package org.sardinelift.gateway.call;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.List;
 import org.sardinelift.core.load.Placement;
 import org.sardinelift.core.load.RetryAfterSchedule;
 import org.sardinelift.core.peer.PeerRole;
+import org.sardinelift.core.plan.RoutePlan;
 import org.sardinelift.gateway.GatewaySettings;
 import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.http.HttpClient;
@@ -40,6 +42,16 @@
         return System.nanoTime();
     }
 
+    /**
+     * Longest idle time of a connection over which calls of a route are sent. A target may have
+     * dropped an idle connection without notice; it is then not known whether the call has run.
+     */
+    Duration maxConnectionIdle(RoutePlan route) {
+        return route.mayRepeat()
+                ? settings.connectionIdleTimeout()
+                : settings.unrepeatableReuseTime();
+    }
+
     /** Slots that become free each second for this gateway's callers. */
     double freedSlotsPerSecond(long now) {
         double slotsPerSecond =
--- a/http/src/main/java/org/sardinelift/http/HttpCall.java
+++ b/http/src/main/java/org/sardinelift/http/HttpCall.java
@@ -14,8 +14,8 @@
  * @param headers request headers in order; content-length is added, and host if absent
  * @param body body bytes, empty for none
  * @param silenceTimeout maximum time without any byte of the response before the call fails
- * @param needsFreshConnection whether a new connection must be used, since the peer may be about to
- *     close an idle one
+ * @param maxConnectionIdle longest idle time of a connection that the request may be sent over,
+ *     since the peer may be about to close an idle one; 0 for a new connection
  */
 public record HttpCall(
         String host,
@@ -25,7 +25,41 @@
         List<Map.Entry<String, String>> headers,
         byte[] body,
         Duration silenceTimeout,
-        boolean needsFreshConnection) {
+        Duration maxConnectionIdle) {
+    /** No idle connection is too old, as far as the request is concerned. */
+    private static final Duration UNBOUNDED = Duration.ofNanos(Long.MAX_VALUE);
+
+    /**
+     * Creates a request that is sent over a new connection or over any idle one.
+     *
+     * @param host address
+     * @param port port
+     * @param method method name in upper case
+     * @param uri path and query
+     * @param headers request headers in order
+     * @param body body bytes, empty for none
+     * @param silenceTimeout maximum time without any byte of the response before the call fails
+     * @param needsFreshConnection whether a new connection must be used
+     */
+    public HttpCall(
+            String host,
+            int port,
+            String method,
+            String uri,
+            List<Map.Entry<String, String>> headers,
+            byte[] body,
+            Duration silenceTimeout,
+            boolean needsFreshConnection) {
+        this(
+                host,
+                port,
+                method,
+                uri,
+                headers,
+                body,
+                silenceTimeout,
+                needsFreshConnection ? Duration.ZERO : UNBOUNDED);
+    }
 
     /**
      * Creates a request that may be sent over an idle connection.
--- a/http/src/main/java/org/sardinelift/http/HttpClient.java
+++ b/http/src/main/java/org/sardinelift/http/HttpClient.java
@@ -46,7 +46,11 @@
     /** An idle connection and how long it may stay idle before it must not be reused. */
     private record IdleConnection(Channel channel, long idleSinceNanos, long idleLimitNanos) {
         boolean isUsable() {
-            return channel.isActive() && System.nanoTime() - idleSinceNanos < idleLimitNanos;
+            return channel.isActive() && idleNanos() < idleLimitNanos;
+        }
+
+        long idleNanos() {
+            return System.nanoTime() - idleSinceNanos;
         }
     }
 
@@ -130,7 +134,7 @@
 
     private Runnable send(HttpCall call, ResponseBounds bounds, HttpResponseListener listener) {
         ClientExchange exchange = new ClientExchange(this, call, bounds, listener);
-        Channel pooled = call.needsFreshConnection() ? null : pollIdle(call);
+        Channel pooled = pollIdle(call);
         if (pooled != null) {
             exchange.sendOver(pooled, true);
         } else {
@@ -218,12 +222,33 @@
 
     private @Nullable Channel pollIdle(HttpCall call) {
         ConcurrentLinkedDeque<IdleConnection> pool = idleConnections.get(address(call));
-        IdleConnection entry = pool == null ? null : pool.poll();
-        while (entry != null && !entry.isUsable()) {
-            entry.channel().close();
-            entry = pool.poll();
+        long maxIdle = call.maxConnectionIdle().toNanos();
+        // The connection used last comes first, so the others are older.
+        IdleConnection entry = pool == null ? null : pool.peek();
+        while (entry != null && entry.idleNanos() < maxIdle) {
+            if (pool.remove(entry)) {
+                if (entry.isUsable()) {
+                    return entry.channel();
+                }
+                entry.channel().close();
+            }
+            entry = pool.peek();
         }
-        return entry == null ? null : entry.channel();
+        return null;
+    }
+
+    /**
+     * Whether a request to an address could be sent over an idle connection.
+     *
+     * @param host address
+     * @param port port
+     * @param maxIdle longest idle time of the connection
+     * @return false if it needs a new connection
+     */
+    public boolean hasIdleConnection(String host, int port, Duration maxIdle) {
+        ConcurrentLinkedDeque<IdleConnection> pool = idleConnections.get(host + ":" + port);
+        IdleConnection latest = pool == null ? null : pool.peek();
+        return latest != null && latest.isUsable() && latest.idleNanos() < maxIdle.toNanos();
     }
 
     /**
--- a/http/src/test/java/org/sardinelift/http/HttpClientTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpClientTest.java
@@ -1,6 +1,7 @@
 package org.sardinelift.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -228,6 +229,49 @@
         assertEquals("ok", client.call(call(true, List.of(), new byte[0])).join().text());
     }
 
+    /** A peer may have dropped a connection that was idle for longer without notice. */
+    @Test
+    void reusesOnlyAConnectionIdleForLessThanTheCallAllows() throws InterruptedException {
+        Session respondTwice =
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, COMPLETE_RESPONSE);
+                    readHead(in);
+                    write(socket, COMPLETE_RESPONSE);
+                    in.read();
+                };
+        Session respondOnce =
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, COMPLETE_RESPONSE);
+                    in.read();
+                };
+        serve(respondTwice, respondOnce);
+        HttpClient client = client(SILENCE_TIMEOUT);
+        Duration maxIdle = Duration.ofMillis(300);
+        assertFalse(client.hasIdleConnection("127.0.0.1", peer.getLocalPort(), maxIdle));
+
+        client.call(call()).join();
+        assertTrue(client.hasIdleConnection("127.0.0.1", peer.getLocalPort(), maxIdle));
+        client.call(callOverConnectionIdleFor(maxIdle)).join();
+        TimeUnit.MILLISECONDS.sleep(350);
+
+        assertFalse(client.hasIdleConnection("127.0.0.1", peer.getLocalPort(), maxIdle));
+        assertEquals("ok", client.call(callOverConnectionIdleFor(maxIdle)).join().text());
+    }
+
+    private HttpCall callOverConnectionIdleFor(Duration maxIdle) {
+        return new HttpCall(
+                "127.0.0.1",
+                peer.getLocalPort(),
+                "POST",
+                "/a",
+                List.of(),
+                new byte[0],
+                SILENCE_TIMEOUT,
+                maxIdle);
+    }
+
     /** The peer would read the next request as the rest of the body. */
     @Test
     void doesNotReuseAConnectionWhoseResponsePrecededTheEndOfTheBody() {
