Send calls to targets at which they are expected to end first, where targets state their speed

Calls went to the target with the fewest calls, so a slow one got as many as a fast one. Where a target states its work time, the product of work time and of the calls in its batch decides; a statement loses its weight with age, and one far below the measured time isn't believed. Batch items prefer slow targets, which calls choose last. Without statements nothing changes.

--- a/core/src/main/java/org/sardinelift/core/load/BatchSlotSelector.java
+++ b/core/src/main/java/org/sardinelift/core/load/BatchSlotSelector.java
@@ -18,8 +18,8 @@
  * free slot. A slot is therefore used only when its target has had a free one for a while, which is
  * shorter for workers in the target's zone than for others, and a worker starts one item at a time
  * on a target. Targets that limit the rate of their requests are preferred: an item uses one
- * request for a run of seconds, and few online calls come there to preempt it. Times are
- * nanoseconds of a monotonic clock. Not thread-safe.
+ * request for a run of seconds, and few online calls come there to preempt it. So are slow targets,
+ * which online calls choose last. Times are nanoseconds of a monotonic clock. Not thread-safe.
  */
 public final class BatchSlotSelector {
     private final String zone;
@@ -75,7 +75,7 @@
      * @param loads loads of the targets that may run the item
      * @param now the time
      * @return the target with the most free slots, preferably one that limits its rate, then one in
-     *     the worker's zone; empty if no target has a usable slot
+     *     the worker's zone, then a slow one; empty if no target has a usable slot
      */
     public Optional<TargetLoad> select(List<TargetLoad> loads, long now) {
         return loads.stream()
@@ -84,6 +84,7 @@
                 .max(
                         Comparator.comparing(TargetLoad::isRateLimited)
                                 .thenComparing(this::isInZone)
+                                .thenComparingDouble(TargetLoad::workTime)
                                 .thenComparingInt(TargetLoad::freeSlots));
     }
 
--- a/core/src/main/java/org/sardinelift/core/load/Placement.java
+++ b/core/src/main/java/org/sardinelift/core/load/Placement.java
@@ -29,6 +29,12 @@
      */
     private static final double CONNECTION_COST_CALLS = 1.5;
 
+    /**
+     * Part of the measured work time that a target may state at least. Measured times vary with the
+     * length of the calls; one that states far less is wrong.
+     */
+    private static final double TRUSTED_PART_OF_MEASURED = 0.8;
+
     private final String zone;
     private final Duration margin;
 
@@ -112,20 +118,44 @@
         return target.zone().equals(zone);
     }
 
-    /** The lowest share of slots in use wins; of equals, the faster and then the local target. */
+    /**
+     * The target with the lowest share of slots in use, or where targets state how long work takes,
+     * the one at which the call is expected to end first. Of equals the local one wins.
+     */
     private Optional<TargetLoad> leastUtilized(List<TargetLoad> targets, long draw) {
+        boolean areSpeedsStated = targets.stream().anyMatch(target -> target.workTime() > 0);
+        double meanCallNanos =
+                targets.stream().mapToLong(TargetLoad::callNanos).average().orElse(1);
         return targets.stream()
                 .min(
-                        Comparator.comparingDouble(Placement::utilization)
+                        Comparator.comparingDouble(
+                                        (TargetLoad target) ->
+                                                areSpeedsStated
+                                                        ? expectedCallTime(target, meanCallNanos)
+                                                        : utilization(target))
                                 .thenComparing(target -> !isInZone(target))
                                 .thenComparingLong(target -> tieBreaker(target, draw)));
     }
 
     private static double utilization(TargetLoad target) {
+        return callsPerSlot(target)
+                + (double) target.timeToFirstEventNanos() / Duration.ofSeconds(1).toNanos();
+    }
+
+    /**
+     * Time that a call takes at a target, as a multiple of that at an empty target of usual speed.
+     * Targets run their calls in batches, each step of which takes longer the more calls there are.
+     */
+    private static double expectedCallTime(TargetLoad target, double meanCallNanos) {
+        double stated = target.workTime() > 0 ? target.workTime() : 1;
+        double measured = target.callNanos() / Math.max(1, meanCallNanos);
+        return Math.max(stated, TRUSTED_PART_OF_MEASURED * measured) * (1 + callsPerSlot(target));
+    }
+
+    private static double callsPerSlot(TargetLoad target) {
         double connection = target.needsConnection() ? CONNECTION_COST_CALLS : 0;
         double calls = (target.calls().online() + target.calls().total()) / 2.0 + connection;
-        return calls / Math.max(1, target.slots())
-                + (double) target.timeToFirstEventNanos() / Duration.ofSeconds(1).toNanos();
+        return calls / Math.max(1, target.slots());
     }
 
     private Optional<TargetLoad> earliestFirstEvent(List<TargetLoad> targets, long draw) {
--- a/core/src/main/java/org/sardinelift/core/load/TargetHealth.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetHealth.java
@@ -22,6 +22,7 @@
     private double timeToFirstEventNanos;
     private double callNanos;
     private double eventGapNanos;
+    private final WorkTime workTime = WorkTime.create();
     private double failureRate;
     private int calls;
     private int pauses;
@@ -87,6 +88,15 @@
         pauses = 0;
     }
 
+    /**
+     * How long work takes at the target, as it states.
+     *
+     * @return the work time
+     */
+    public WorkTime workTime() {
+        return workTime;
+    }
+
     /**
      * A call failed in a way that indicates a fault of the target.
      *
--- a/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
@@ -13,6 +13,8 @@
  * @param isRateLimited whether the target limits the rate of its requests
  * @param sendDelayNanos time until that limit allows another request, nanoseconds
  * @param needsConnection whether the call would need a new connection to the target
+ * @param workTime how long work takes at the target, as a multiple of the usual time; 0 if the
+ *     target doesn't state that
  */
 public record TargetLoad(
         String id,
@@ -23,7 +25,8 @@
         long timeToFirstEventNanos,
         boolean isRateLimited,
         long sendDelayNanos,
-        boolean needsConnection) {
+        boolean needsConnection,
+        double workTime) {
 
     /**
      * Creates the load of a target, whatever the connections to it.
@@ -56,7 +59,8 @@
                 timeToFirstEventNanos,
                 isRateLimited,
                 sendDelayNanos,
-                false);
+                false,
+                0);
     }
 
     /**
@@ -75,7 +79,8 @@
                 timeToFirstEventNanos,
                 true,
                 delayNanos,
-                needsConnection);
+                needsConnection,
+                workTime);
     }
 
     /**
@@ -93,7 +98,28 @@
                 timeToFirstEventNanos,
                 isRateLimited,
                 sendDelayNanos,
-                true);
+                true,
+                workTime);
+    }
+
+    /**
+     * Returns the load of a target that states how long work takes.
+     *
+     * @param multiple multiple of the usual time
+     * @return the load
+     */
+    public TargetLoad withWorkTime(double multiple) {
+        return new TargetLoad(
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                isRateLimited,
+                sendDelayNanos,
+                needsConnection,
+                multiple);
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -17,6 +17,7 @@
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.TargetHealth;
 import org.sardinelift.core.load.TargetLoad;
+import org.sardinelift.core.load.WorkTime;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
@@ -39,6 +40,7 @@
     private static final Duration DEATH_DETECTION_WINDOW = Duration.ofSeconds(1);
 
     private static final int OK = 200;
+    private static final double PERCENT = 100;
 
     /** Leaving incarnations that are remembered while the list of targets lacks them. */
     private static final int MAX_LEAVING_INCARNATIONS = 10_000;
@@ -352,22 +354,36 @@
      * @return its load
      */
     public TargetLoad load(Target target, long now) {
+        TargetLoad load = loadWithoutLimit(target, now);
+        if (rateLimit(target).isEmpty()) {
+            return load;
+        }
+        long delay = rateLimits.nanosUntilRequest(target.incarnation, now);
+        boolean isTestDue = delay == 0 && rateLimits.isUnconfirmed(target.incarnation, now);
+        return isTestDue ? load : load.withRateLimit(delay);
+    }
+
+    private static void recordWorkTime(Target target, ResponseHead head) {
+        if (head.workTimePercent().isPresent() && !head.isMisdirected()) {
+            double multiple = head.workTimePercent().getAsInt() / PERCENT;
+            target.health.workTime().onStated(multiple, System.nanoTime());
+        }
+    }
+
+    private TargetLoad loadWithoutLimit(Target target, long now) {
+        WorkTime workTime = target.health.workTime();
+        double deviation = workTime.deviation(now);
         TargetLoad load =
                 new TargetLoad(
                         target.id(),
                         target.registration.zone(),
                         target.registration.slots(),
                         loadTracker.knownCalls(target.id(), now),
-                        target.health.callNanos(),
-                        target.health.timeToFirstEventNanos(),
+                        (long) (target.health.callNanos() * deviation),
+                        (long) (target.health.timeToFirstEventNanos() * deviation),
                         false,
                         0);
-        if (rateLimit(target).isEmpty()) {
-            return load;
-        }
-        long delay = rateLimits.nanosUntilRequest(target.incarnation, now);
-        boolean isTestDue = delay == 0 && rateLimits.isUnconfirmed(target.incarnation, now);
-        return isTestDue ? load : load.withRateLimit(delay);
+        return workTime.isStated() ? load.withWorkTime(workTime.estimate(now)) : load;
     }
 
     /**
@@ -378,6 +394,7 @@
      * @param head the head
      */
     public void onResponseHead(Target target, ResponseHead head) {
+        recordWorkTime(target, head);
         if (!head.isLeaving()
                 || head.isMisdirected()
                 || !leavingIncarnations.add(Incarnation.of(target.registration))) {
