Refuse new calls while a gateway is behind its own work

With admission.maxLoopDelayMs (absent by default) a gateway refuses calls that come for the first time while its event loop is further behind than that; those that return pass. LoopDelayTest: of 150 calls a second at a loop that can serve 100, over a half is in time instead of under a tenth.

--- a/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.sardinelift.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.sardinelift.settings.SettingsNode;
 
 /**
@@ -19,6 +20,8 @@
  * @param unrepeatableReuseTime longest idle time of a connection over which a call is sent that
  *     must not be repeated; if it is 0, such calls use new connections only, and connections have
  *     no part in the choice of a target
+ * @param maxLoopDelay delay of this gateway's own work from which it refuses new calls; empty if it
+ *     refuses none for that
  * @param hasFairShares whether calls are admitted by fair shares of the teams in a shortage
  */
 public record GatewaySettings(
@@ -33,6 +36,7 @@
         Duration typicalCallTime,
         Duration connectionIdleTimeout,
         Duration unrepeatableReuseTime,
+        Optional<Duration> maxLoopDelay,
         boolean hasFairShares) {
 
     /**
@@ -61,6 +65,12 @@
                 // Well under the idle time after which targets close connections.
                 node.millis("connectionIdleMs", 2_000),
                 node.millis("unrepeatableReuseMs", 0),
+                maxLoopDelay(node.object("admission")),
                 node.object("admission").flag("fairShares", false));
     }
+
+    private static Optional<Duration> maxLoopDelay(SettingsNode node) {
+        Duration delay = node.millis("maxLoopDelayMs", 0);
+        return delay.isZero() ? Optional.empty() : Optional.of(delay);
+    }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -44,7 +44,18 @@
         this.adapter = adapter;
         this.jobProxy = jobProxy;
         CallGate start = (exchange, call) -> call.start();
-        this.firstGate = new ResumeGate(context, new CrashGate(context, start));
+        CallGate resume = new ResumeGate(context, new CrashGate(context, start));
+        this.firstGate =
+                context.settings()
+                        .maxLoopDelay()
+                        .<CallGate>map(
+                                max ->
+                                        new LoopDelayGate(
+                                                context,
+                                                context.network().loopDelay(),
+                                                max,
+                                                resume))
+                        .orElse(resume);
     }
 
     @Override
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -31,6 +31,8 @@
         NO_ROOM(503, "no_room", "not_run"),
         /** No target is available at all. */
         NO_TARGET(503, "no_target", "not_run"),
+        /** This gateway is too far behind its own work. */
+        BEHIND(503, "behind", "not_run"),
         /** This gateway has no configuration yet. */
         NOT_READY(503, "not_ready", "not_run"),
         /** Every target that received the call failed, or may have run it. */
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
+import org.sardinelift.core.load.LoopDelay;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.peer.PeerTable;
@@ -50,6 +51,11 @@
     /** Time between reports without a change. */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
 
+    private static final Duration TICK_INTERVAL = HEARTBEAT_INTERVAL.dividedBy(2);
+
+    /** A measured delay of the event loop counts for as long as a few ticks. */
+    private static final Duration LOOP_DELAY_LIFETIME = Duration.ofMillis(200);
+
     /** The same to instances in other zones, which get changes through relays. */
     private static final Duration OTHER_ZONE_HEARTBEAT_INTERVAL = Duration.ofMillis(250);
 
@@ -93,6 +99,7 @@
     private final ReportBuilder reportBuilder;
     private final ReportRelay relay;
     private final ReportChannel channel;
+    private final LoopDelay loopDelay = LoopDelay.fadingOver(LOOP_DELAY_LIFETIME);
     private final Set<String> livePeerNames = new HashSet<>();
     private final List<Listener> listeners = new ArrayList<>();
     private long zoneReportSentAt;
@@ -283,6 +290,15 @@
         return streams;
     }
 
+    /**
+     * How far the event loop is behind its work.
+     *
+     * @return the delay, measured by the ticks of this network
+     */
+    public LoopDelay loopDelay() {
+        return loopDelay;
+    }
+
     private boolean isTargetListCurrent(long now) {
         // Until the pause is noticed the list looks as new as before it.
         detectProcessPause(now);
@@ -384,8 +400,9 @@
 
     private void tick() {
         // Scheduled first, so that a failure below doesn't stop the heartbeats.
-        loop.schedule(this::tick, HEARTBEAT_INTERVAL.toNanos() / 2, TimeUnit.NANOSECONDS);
+        loop.schedule(this::tick, TICK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS);
         long now = System.nanoTime();
+        loopDelay.onTaskRun(now + TICK_INTERVAL.toNanos(), now);
         detectProcessPause(now);
         updateStoreReaders(now);
         for (String gone : peers.removeSilent(now)) {
