--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.TargetCalls;
+import org.sardinelift.core.load.WorkTime;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.StoreAvailability;
@@ -36,6 +37,7 @@
         root.put("plan", planVersion);
         root.put("storeAnswers", storeAvailability.isAvailable());
         root.put("targetsRevision", targetFeed.snapshot().revision());
+        root.put("loopDelayMs", network.loopDelay().delay(now).toMillis());
         root.put("knownStreams", network.streams().knownStreams());
         root.put("droppedStreams", network.streams().droppedStreams());
         ArrayNode peers = root.putArray("peers");
@@ -62,6 +64,7 @@
                                     .put("leaving", target.registration().isLeaving())
                                     .put("usable", target.health().isUsable(now))
                                     .put("rateLimit", rateLimit(targetTable, target))
+                                    .put("workTime", workTime(target, now))
                                     .put("requests", target.requests())
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
@@ -81,6 +84,11 @@
         return limit.isPresent() ? limit.getAsDouble() : null;
     }
 
+    private static @Nullable Double workTime(TargetTable.Target target, long now) {
+        WorkTime workTime = target.health().workTime();
+        return workTime.isStated() ? workTime.estimate(now) : null;
+    }
+
     private static long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
