--- a/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
+++ b/core/src/main/java/org/sardinelift/core/load/TargetLoad.java
@@ -12,6 +12,9 @@
  *     nanoseconds
  * @param isRateLimited whether the target limits the rate of its requests
  * @param sendDelayNanos time until that limit allows another request, nanoseconds
+ * @param needsConnection whether the call would need a new connection to the target
+ * @param workTime how long work takes at the target, as a multiple of the usual time; 0 if the
+ *     target doesn't state that
  */
 public record TargetLoad(
         String id,
@@ -21,7 +24,44 @@
         long callNanos,
         long timeToFirstEventNanos,
         boolean isRateLimited,
-        long sendDelayNanos) {
+        long sendDelayNanos,
+        boolean needsConnection,
+        double workTime) {
+
+    /**
+     * Creates the load of a target, whatever the connections to it.
+     *
+     * @param id name of the target
+     * @param zone its availability zone
+     * @param slots calls that it runs at once
+     * @param calls calls on it
+     * @param callNanos time that a call occupies a slot, nanoseconds
+     * @param timeToFirstEventNanos time from sending a call to its first event if a slot is free,
+     *     nanoseconds
+     * @param isRateLimited whether the target limits the rate of its requests
+     * @param sendDelayNanos time until that limit allows another request, nanoseconds
+     */
+    public TargetLoad(
+            String id,
+            String zone,
+            int slots,
+            TargetCalls calls,
+            long callNanos,
+            long timeToFirstEventNanos,
+            boolean isRateLimited,
+            long sendDelayNanos) {
+        this(
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                isRateLimited,
+                sendDelayNanos,
+                false,
+                0);
+    }
 
     /**
      * Returns the load of a target that limits the rate of its requests.
@@ -31,7 +71,55 @@
      */
     public TargetLoad withRateLimit(long delayNanos) {
         return new TargetLoad(
-                id, zone, slots, calls, callNanos, timeToFirstEventNanos, true, delayNanos);
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                true,
+                delayNanos,
+                needsConnection,
+                workTime);
+    }
+
+    /**
+     * Returns the load of a target to which the call would need a new connection.
+     *
+     * @return the load
+     */
+    public TargetLoad withNewConnection() {
+        return new TargetLoad(
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                isRateLimited,
+                sendDelayNanos,
+                true,
+                workTime);
+    }
+
+    /**
+     * Returns the load of a target that states how long work takes.
+     *
+     * @param multiple multiple of the usual time
+     * @return the load
+     */
+    public TargetLoad withWorkTime(double multiple) {
+        return new TargetLoad(
+                id,
+                zone,
+                slots,
+                calls,
+                callNanos,
+                timeToFirstEventNanos,
+                isRateLimited,
+                sendDelayNanos,
+                needsConnection,
+                multiple);
     }
 
     /**
