Limits of cold targets, decided and shared in core

Cause: all instances together may send a cold target more than it survives, most of all just after a restart or a loss of contact. RegisteredTarget has coldLeftMs.

Not wired into the processes yet.

--- a/core/src/main/java/org/sardinelift/core/load/RateLimitedTargetSample.java
+++ b/core/src/main/java/org/sardinelift/core/load/RateLimitedTargetSample.java
@@ -16,6 +16,15 @@
     /** Time for a report to reach the other instances, through a relay to other zones. */
     private static final double REPORT_SECONDS = 0.03;
 
+    /**
+     * The same for a cold target, which must not get more while instances lose contact: until they
+     * notice that, all calls that are offered it may be sent.
+     */
+    private static final double OFFERS_PER_REQUEST_WHILE_COLD = 2;
+
+    /** Offers to a cold target per second at the lowest limits. */
+    private static final double MIN_OFFERS_WHILE_COLD = 15;
+
     private static final double DRAWS = 1L << 32;
 
     private RateLimitedTargetSample() {}
@@ -31,8 +40,33 @@
      */
     public static boolean includes(
             String target, double limitPerSecond, double fleetCallsPerSecond, long draw) {
-        double offersPerSecond =
-                Math.max(OFFERS_PER_ALLOWED_REQUEST * limitPerSecond, 1 / REPORT_SECONDS);
+        return isDrawn(
+                target,
+                Math.max(OFFERS_PER_ALLOWED_REQUEST * limitPerSecond, 1 / REPORT_SECONDS),
+                fleetCallsPerSecond,
+                draw);
+    }
+
+    /**
+     * Returns whether a call may choose a cold target.
+     *
+     * @param target the target
+     * @param limitPerSecond requests per second that it takes
+     * @param fleetCallsPerSecond calls per second that arrive at all instances
+     * @param draw number distributed evenly over the calls
+     * @return false if the call has to choose another target
+     */
+    public static boolean includesCold(
+            String target, double limitPerSecond, double fleetCallsPerSecond, long draw) {
+        return isDrawn(
+                target,
+                Math.max(OFFERS_PER_REQUEST_WHILE_COLD * limitPerSecond, MIN_OFFERS_WHILE_COLD),
+                fleetCallsPerSecond,
+                draw);
+    }
+
+    private static boolean isDrawn(
+            String target, double offersPerSecond, double fleetCallsPerSecond, long draw) {
         long mixed = (draw ^ target.hashCode()) * 0x9E3779B97F4A7C15L;
         double position = (mixed >>> 32) / DRAWS;
         return position * fleetCallsPerSecond < offersPerSecond;
--- a/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
+++ b/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
@@ -1,5 +1,7 @@
 package org.sardinelift.core.plan;
 
+import java.util.OptionalLong;
+
 /**
  * A target as registered in the store.
  *
@@ -12,6 +14,8 @@
  * @param isLeaving whether it accepts no new calls
  * @param startedAtMs when this incarnation started, Unix milliseconds; 0 if unknown
  * @param softwareVersion version of the software that writes its streams, empty if it states none
+ * @param coldLeftMs time for which it stays cold after it wrote this, 0 if it isn't cold; empty if
+ *     unknown
  */
 public record RegisteredTarget(
         String id,
@@ -22,7 +26,54 @@
         int slots,
         boolean isLeaving,
         long startedAtMs,
-        String softwareVersion) {
+        String softwareVersion,
+        OptionalLong coldLeftMs) {
+
+    /**
+     * Creates an entry that doesn't state whether the target is cold.
+     *
+     * @param id name of this incarnation of the target
+     * @param service service that it runs
+     * @param host IP address
+     * @param port port
+     * @param zone availability zone
+     * @param slots calls that it runs at once
+     * @param isLeaving whether it accepts no new calls
+     * @param startedAtMs when this incarnation started, Unix milliseconds; 0 if unknown
+     * @param softwareVersion version of the software that writes its streams
+     */
+    public RegisteredTarget(
+            String id,
+            String service,
+            String host,
+            int port,
+            String zone,
+            int slots,
+            boolean isLeaving,
+            long startedAtMs,
+            String softwareVersion) {
+        this(
+                id,
+                service,
+                host,
+                port,
+                zone,
+                slots,
+                isLeaving,
+                startedAtMs,
+                softwareVersion,
+                OptionalLong.empty());
+    }
+
+    /**
+     * Returns the entry without the remaining cold time, which changes with every write.
+     *
+     * @return the entry as far as it says where and what the target is
+     */
+    public RegisteredTarget withoutColdTime() {
+        return new RegisteredTarget(
+                id, service, host, port, zone, slots, isLeaving, startedAtMs, softwareVersion);
+    }
 
     /**
      * Names this life of the target, also where it keeps its id in the next one.
--- a/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
+++ b/core/src/main/java/org/sardinelift/core/quota/FleetQuota.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.plan.RateLimit;
 
 /**
@@ -35,6 +37,12 @@
      */
     private static final int MAX_RECENT_SPENDINGS = 500;
 
+    /** Part of an instance's share that its slots use, since their phases are not coordinated. */
+    private static final double SLOT_RATE_PART = 0.5;
+
+    /** Length of a slot. Longer ones let more instances that have waited send at the same time. */
+    private static final long SLOT_NANOS = 50_000_000L;
+
     private final QuotaBounds bounds;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private final Map<String, Peer> peers = new HashMap<>();
@@ -42,6 +50,10 @@
 
     private final long startedAt;
     private double usablePart = 1;
+    private @Nullable StrictSharing strictSharing;
+    private double strictPart = 1;
+    private boolean isFleetKnown;
+    private long fleetKnownAt;
 
     private FleetQuota(QuotaBounds bounds, long startedAt) {
         this.bounds = bounds;
@@ -83,8 +95,110 @@
      */
     public void setLimit(RateLimit limit, long now) {
         detectSilentPeers(now);
-        buckets.computeIfAbsent(limit.name(), name -> new Bucket(limit, now))
-                .refill(limit, usablePart, now);
+        Bucket bucket = buckets.computeIfAbsent(limit.name(), name -> new Bucket(limit, now));
+        bucket.refill(limit, part(bucket), now);
+        bucket.isStrict = false;
+    }
+
+    /**
+     * Sets how strict limits are divided; before the first of them.
+     *
+     * @param sharing the bounds
+     * @param now current time
+     */
+    public void shareStrictly(StrictSharing sharing, long now) {
+        strictSharing = sharing;
+        strictPart = computeStrictPart(now);
+    }
+
+    /**
+     * Adds or changes a strict limit: one that holds in any one second, also while instances lose
+     * contact. An instance whose part of the burst is less than one request sends only in slots of
+     * its own, see {@link StrictSharing}.
+     *
+     * @param limit the limit
+     * @param now current time
+     */
+    public void setStrictLimit(RateLimit limit, long now) {
+        detectSilentPeers(now);
+        Bucket bucket = buckets.computeIfAbsent(limit.name(), name -> new Bucket(limit, now));
+        bucket.refill(limit, part(bucket), now);
+        if (!bucket.isStrict) {
+            // Requests that were not limited before have just been sent.
+            bucket.tokens = Math.min(0, bucket.tokens);
+            bucket.isStrict = true;
+        }
+    }
+
+    /**
+     * The list of instances was read, and each was added.
+     *
+     * @param now current time
+     */
+    public void onInstancesListed(long now) {
+        if (!isFleetKnown) {
+            isFleetKnown = true;
+            fleetKnownAt = now;
+        }
+    }
+
+    /**
+     * Returns when a slot of this instance allows a request under a strict limit, whatever the
+     * bucket holds: for requests that many instances have reason to send at the same time.
+     *
+     * @param name name of the limit
+     * @param now current time
+     * @return 0 if it allows one now or there is no strict limit, otherwise the time until it does
+     */
+    public long nanosUntilOwnSlot(String name, long now) {
+        Bucket bucket = buckets.get(name);
+        return bucket == null || !bucket.isStrict ? 0 : nanosUntilSlot(bucket, now);
+    }
+
+    private double part(Bucket bucket) {
+        return bucket.isStrict ? strictPart : usablePart;
+    }
+
+    private boolean usesSlots(Bucket bucket) {
+        return bucket.isStrict && bucket.limit.burst() * strictPart < 1;
+    }
+
+    private long nanosUntil(Bucket bucket, long now) {
+        return usesSlots(bucket)
+                ? nanosUntilSlot(bucket, now)
+                : bucket.nanosUntilToken(part(bucket));
+    }
+
+    private long nanosUntilSlot(Bucket bucket, long now) {
+        return Math.max(0, slotAt(bucket, now) - now);
+    }
+
+    /** Returns when the first slot begins that has not ended and was not used. */
+    private long slotAt(Bucket bucket, long now) {
+        StrictSharing sharing = Objects.requireNonNull(strictSharing);
+        double share = strictPart < 1 && !isShareKnown(now) ? strictPart : 1 / (peers.size() + 1.0);
+        double period = NANOS_PER_SECOND / (bucket.limit.ratePerSecond() * share * SLOT_RATE_PART);
+        double phase = sharing.phase(bucket.limit.name()) * period;
+        double index = Math.ceil((now - SLOT_NANOS - phase) / period);
+        long slot = (long) (index * period + phase);
+        boolean isUsed = bucket.hasUsedSlot && slot - bucket.usedSlotAt < period / 2;
+        return isUsed ? slot + (long) period : slot;
+    }
+
+    private boolean isShareKnown(long now) {
+        return strictSharing != null
+                && isFleetKnown
+                && now - fleetKnownAt >= strictSharing.settleTime().toNanos();
+    }
+
+    private double computeStrictPart(long now) {
+        if (strictSharing == null) {
+            return 1;
+        }
+        if (!isShareKnown(now)) {
+            return 1.0 / Math.max(strictSharing.maxInstances(), peers.size() + 1);
+        }
+        return partOfReporting(strictSharing.silenceTimeout().toNanos(), now);
     }
 
     /**
@@ -113,18 +227,30 @@
      */
     public void detectSilentPeers(long now) {
         double currentPart = computeUsablePart(now);
-        if (currentPart < usablePart) {
-            double keptPart = currentPart / usablePart;
-            buckets.values()
-                    .forEach(
-                            bucket -> {
-                                bucket.refill(bucket.limit, usablePart, now);
-                                bucket.reduceTo(keptPart, now, bounds.silenceTimeout().toNanos());
-                            });
-        } else if (currentPart > usablePart) {
-            buckets.values().forEach(bucket -> bucket.refill(bucket.limit, usablePart, now));
-        }
+        changePart(false, usablePart, currentPart, bounds.silenceTimeout().toNanos(), now);
         usablePart = currentPart;
+        if (strictSharing != null) {
+            double currentStrictPart = computeStrictPart(now);
+            long timeout = strictSharing.silenceTimeout().toNanos();
+            changePart(true, strictPart, currentStrictPart, timeout, now);
+            strictPart = currentStrictPart;
+        }
+    }
+
+    private void changePart(
+            boolean ofStrict, double before, double after, long silenceNanos, long now) {
+        if (before == after) {
+            return;
+        }
+        buckets.values().stream()
+                .filter(bucket -> bucket.isStrict == ofStrict)
+                .forEach(
+                        bucket -> {
+                            bucket.refill(bucket.limit, before, now);
+                            if (after < before) {
+                                bucket.reduceTo(after / before, now, silenceNanos);
+                            }
+                        });
     }
 
     /**
@@ -140,8 +266,8 @@
         }
         detectSilentPeers(now);
         Bucket bucket = bucket(limit);
-        bucket.refill(limit, usablePart, now);
-        long wait = bucket.nanosUntilToken(usablePart);
+        bucket.refill(limit, part(bucket), now);
+        long wait = nanosUntil(bucket, now);
         if (wait == 0) {
             charge(bucket, now);
         }
@@ -160,8 +286,8 @@
         if (bucket == null) {
             return 0;
         }
-        bucket.refill(bucket.limit, usablePart, now);
-        return bucket.nanosUntilToken(usablePart);
+        bucket.refill(bucket.limit, part(bucket), now);
+        return nanosUntil(bucket, now);
     }
 
     /**
@@ -174,12 +300,16 @@
     public void admit(String name, long now) {
         Bucket bucket = buckets.get(name);
         if (bucket != null) {
-            bucket.refill(bucket.limit, usablePart, now);
+            bucket.refill(bucket.limit, part(bucket), now);
             charge(bucket, now);
         }
     }
 
     private void charge(Bucket bucket, long now) {
+        if (bucket.isStrict) {
+            bucket.usedSlotAt = slotAt(bucket, now);
+            bucket.hasUsedSlot = true;
+        }
         bucket.spend(1, now);
         admittedCounts.merge(bucket.limit.name(), 1L, Long::sum);
     }
@@ -227,6 +357,7 @@
             long ageNanos,
             Map<String, AdmittedCount> counts,
             long now) {
+        onInstancesListed(now);
         boolean isNew = !peers.containsKey(name);
         Peer peer = peers.computeIfAbsent(name, key -> new Peer(now));
         if (incarnation < peer.incarnation) {
@@ -271,8 +402,8 @@
         if (bucket != null) {
             // Refilled first: tokens that a full bucket could not hold must not pay for these
             // calls.
-            bucket.refill(bucket.limit, usablePart, now);
-            bucket.spend(Math.max(0, newCalls - reservedFor(peer, bucket.limit, now)), now);
+            bucket.refill(bucket.limit, part(bucket), now);
+            bucket.spend(Math.max(0, newCalls - reservedFor(peer, bucket, now)), now);
         }
     }
 
@@ -280,7 +411,11 @@
      * Returns what was reserved for a peer while it was silent and must not be counted twice; once
      * for each limit after each return, since a report does not contain all counts.
      */
-    private double reservedFor(Peer peer, RateLimit limit, long now) {
+    private double reservedFor(Peer peer, Bucket bucket, long now) {
+        if (bucket.isStrict) {
+            return 0;
+        }
+        RateLimit limit = bucket.limit;
         boolean hasReturned =
                 now - peer.returnedAt < RETURN_PERIOD_NANOS && peer.silentForNanos > 0;
         if (!hasReturned || !peer.settledLimits.add(limit.name())) {
@@ -310,7 +445,10 @@
      * to it, and its own.
      */
     private double computeUsablePart(long now) {
-        long timeout = bounds.silenceTimeout().toNanos();
+        return partOfReporting(bounds.silenceTimeout().toNanos(), now);
+    }
+
+    private double partOfReporting(long timeout, long now) {
         long silentPeers =
                 peers.values().stream().filter(peer -> now - peer.reportedAt >= timeout).count();
         return 1 - silentPeers / (peers.size() + 1.0);
@@ -338,6 +476,9 @@
         private RateLimit limit;
         private double tokens;
         private long filledAt;
+        private boolean isStrict;
+        private boolean hasUsedSlot;
+        private long usedSlotAt;
 
         /** Tokens spent at a time. */
         private record Spending(double tokens, long at) {}
@@ -349,7 +490,7 @@
 
         void refill(RateLimit current, double part, long now) {
             double seconds = Math.max(0, now - filledAt) / NANOS_PER_SECOND;
-            double capacity = Math.max(1, current.burst() * part);
+            double capacity = Math.max(isStrict ? 0 : 1, current.burst() * part);
             tokens = Math.min(capacity, tokens + seconds * limit.ratePerSecond() * part);
             limit = current;
             filledAt = Math.max(filledAt, now);
--- a/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
+++ b/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
@@ -6,13 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.sardinelift.core.plan.RateLimit;
 
 /**
- * Limits on the rate of requests that targets state in their responses, kept by all instances
- * together.
+ * Limits on the rate of requests that targets state in their responses or have while they are cold,
+ * kept by all instances together. The lower of the two holds.
  *
  * <p>An instance learns a limit from the responses to its own requests, and from other instances,
  * which report what their own responses stated but not what they heard from others. The newest
@@ -41,6 +42,15 @@
     /** Time whose requests a target may get at once, after it got none for that long. */
     private static final Duration BURST_TIME = Duration.ofSeconds(1);
 
+    /** Requests in any second beyond the rate that a cold target takes: this part of the rate. */
+    private static final double STRICT_SLACK_PART = 0.5;
+
+    /** The same, plus this number. */
+    private static final double STRICT_SLACK_REQUESTS = 5;
+
+    /** Part of these requests that instances in contact may send as a burst. */
+    private static final double STRICT_BURST_PART = 0.3;
+
     private final FleetQuota quota;
     private final long repeatNanos;
     private final Map<String, State> states = new HashMap<>();
@@ -76,8 +86,14 @@
      * @param target the target
      * @param statement what its last response to this instance stated, empty if there was none
      * @param sent requests sent to it by this instance while it was limited
+     * @param coldLeftNanos time for which it stays cold, empty if this instance has not lately seen
+     *     that itself
      */
-    public record Report(String target, Optional<Statement> statement, AdmittedCount sent) {}
+    public record Report(
+            String target,
+            Optional<Statement> statement,
+            AdmittedCount sent,
+            OptionalLong coldLeftNanos) {}
 
     /**
      * What a target stated.
@@ -89,6 +105,10 @@
 
     private static final class State {
         private Statement latest;
+        private OptionalDouble coldPerSecond = OptionalDouble.empty();
+        private boolean hasColdEvidence;
+        private long coldUntil;
+        private long coldSeenAt;
         private Optional<Statement> own = Optional.empty();
         private long ownChangedAt;
         private long firstRequestAt;
@@ -101,6 +121,18 @@
             this.latest = latest;
         }
 
+        OptionalDouble limit() {
+            OptionalDouble stated = latest.perSecond();
+            return stated.isPresent() && coldPerSecond.isPresent()
+                    ? OptionalDouble.of(Math.min(stated.getAsDouble(), coldPerSecond.getAsDouble()))
+                    : stated.isPresent() ? stated : coldPerSecond;
+        }
+
+        /** Whether the target has ever stated a limit, here or to a peer. */
+        boolean hasStatement() {
+            return own.isPresent() || latest.perSecond().isPresent();
+        }
+
         void setRegistered(boolean registered, long now) {
             if (isRegistered && !registered) {
                 unregisteredAt = now;
@@ -125,7 +157,8 @@
     public Optional<Change> onResponse(String target, StatedRate stated, long sentAt, long now) {
         State state = states.get(target);
         if (stated instanceof StatedRate.Unreadable
-                || stated instanceof StatedRate.Unlimited && state == null) {
+                || stated instanceof StatedRate.Unlimited
+                        && (state == null || !state.hasStatement())) {
             return Optional.empty();
         }
         Statement statement =
@@ -173,21 +206,111 @@
         if (statement.perSecond().equals(before)) {
             return Optional.empty();
         }
-        if (statement.perSecond().isPresent()) {
-            quota.setLimit(toRateLimit(target, statement.perSecond().getAsDouble()), now);
-        } else {
-            quota.removeLimit(target);
-        }
+        updateLimit(target, now);
         countLimited();
         return Optional.of(new Change(before, statement.perSecond()));
     }
 
+    private void updateLimit(String target, long now) {
+        State state = states.get(target);
+        OptionalDouble limit = state.limit();
+        if (limit.isEmpty()) {
+            quota.removeLimit(target);
+        } else if (state.coldPerSecond.isPresent()) {
+            quota.setStrictLimit(toStrictLimit(target, limit.getAsDouble()), now);
+        } else {
+            quota.setLimit(toRateLimit(target, limit.getAsDouble()), now);
+        }
+    }
+
+    /**
+     * Limits a target since it is cold, or changes that limit.
+     *
+     * @param target the target
+     * @param perSecond requests per second
+     * @param now the time
+     */
+    public void setColdLimit(String target, double perSecond, long now) {
+        State state =
+                states.computeIfAbsent(
+                        target,
+                        key ->
+                                new State(
+                                        new Statement(
+                                                OptionalDouble.empty(),
+                                                now - ABSENCE_TIMEOUT.toNanos())));
+        limitedCount += isLimited(state) ? 0 : 1;
+        state.coldPerSecond = OptionalDouble.of(perSecond);
+        updateLimit(target, now);
+    }
+
+    /**
+     * Removes the limit that a target had since it was cold. One that it states remains.
+     *
+     * @param target the target
+     * @param now the time
+     */
+    public void removeColdLimit(String target, long now) {
+        State state = states.get(target);
+        if (state == null || state.coldPerSecond.isEmpty()) {
+            return;
+        }
+        state.coldPerSecond = OptionalDouble.empty();
+        state.latest
+                .perSecond()
+                .ifPresentOrElse(
+                        stated -> quota.setLimit(toRateLimit(target, stated), now),
+                        () -> quota.removeLimit(target));
+        limitedCount -= isLimited(state) ? 0 : 1;
+    }
+
+    /**
+     * This instance has seen that a target is cold, which the others need to know.
+     *
+     * @param target the target, which has a limit
+     * @param until when its cold time is expected to end
+     * @param now the time
+     */
+    public void onColdEvidence(String target, long until, long now) {
+        State state = states.get(target);
+        if (state != null) {
+            state.hasColdEvidence = true;
+            state.coldUntil = until;
+            state.coldSeenAt = now;
+        }
+    }
+
+    /**
+     * Whether a target is limited since it is or was lately cold.
+     *
+     * @param target the target
+     * @return true also where a lower limit is stated
+     */
+    public boolean isCold(String target) {
+        State state = limitedCount == 0 ? null : states.get(target);
+        return state != null && state.coldPerSecond.isPresent();
+    }
+
+    /**
+     * Returns when this instance may send a probe to a target that does not answer. All instances
+     * wait for such a target, so that each uses only its own part of a cold target's limit.
+     *
+     * @param target the target
+     * @param now the time
+     * @return 0 if it may now, otherwise the time until it may
+     */
+    public long nanosUntilProbe(String target, long now) {
+        return isCold(target)
+                ? quota.nanosUntilOwnSlot(target, now)
+                : nanosUntilRequest(target, now);
+    }
+
     private void countLimited() {
         limitedCount = (int) states.values().stream().filter(TargetRateLimits::isLimited).count();
     }
 
     private static boolean isLimited(State state) {
-        return state.latest.perSecond().isPresent();
+        return state.limit().isPresent();
     }
 
     private static RateLimit toRateLimit(String target, double perSecond) {
@@ -196,15 +319,25 @@
         return new RateLimit(target, rate, Math.max(1, rate * seconds));
     }
 
+    /**
+     * Leaves most of what is allowed beyond the rate to requests that cross each other's reports.
+     */
+    private static RateLimit toStrictLimit(String target, double perSecond) {
+        double rate = Math.max(MIN_REQUESTS_PER_SECOND, perSecond);
+        double slack = STRICT_SLACK_PART * rate + STRICT_SLACK_REQUESTS;
+        return new RateLimit(target, rate, Math.max(1, STRICT_BURST_PART * slack));
+    }
+
     /**
      * Returns the limit of a target.
      *
      * @param target the target
-     * @return requests per second as the target stated them, empty if it has no limit
+     * @return requests per second, the lower of what it stated and what it takes while it is cold;
+     *     empty if it has no limit
      */
     public OptionalDouble limit(String target) {
         State state = limitedCount == 0 ? null : states.get(target);
-        return state == null ? OptionalDouble.empty() : state.latest.perSecond();
+        return state == null ? OptionalDouble.empty() : state.limit();
     }
 
     /**
@@ -228,6 +361,7 @@
         State state = states.get(target);
         return state != null
                 && isLimited(state)
+                && state.coldPerSecond.isEmpty()
                 && now - state.latest.at() >= CONFIRMATION_INTERVAL.toNanos();
     }
 
@@ -301,13 +435,22 @@
         boolean hasNewRequests = state.hasRequests && now - state.lastRequestAt < repeatNanos;
         boolean isKnownHere = state.own.isPresent() || state.hasRequests;
         boolean isReportedInFull = isFull && isLimited(state) && isKnownHere;
-        return state.isRegistered && (hasOwnNews || hasNewRequests || isReportedInFull);
+        return state.isRegistered
+                && (hasOwnNews || hasNewRequests || isReportedInFull || hasColdNews(state, now));
+    }
+
+    private boolean hasColdNews(State state, long now) {
+        return state.hasColdEvidence
+                && now - state.coldSeenAt < repeatNanos
+                && state.coldUntil - now > 0;
     }
 
     private static long changedAt(State state) {
-        return state.hasRequests
-                ? Math.max(state.ownChangedAt, state.lastRequestAt)
-                : state.ownChangedAt;
+        return Math.max(
+                state.hasColdEvidence ? state.coldSeenAt : state.ownChangedAt,
+                state.hasRequests
+                        ? Math.max(state.ownChangedAt, state.lastRequestAt)
+                        : state.ownChangedAt);
     }
 
     private Report toReport(String target, State state, long now) {
@@ -315,6 +458,12 @@
         long sentSince = state.hasRequests ? now - state.firstRequestAt : 0;
         Optional<Statement> statement =
                 state.own.filter(own -> own.perSecond().equals(state.latest.perSecond()));
-        return new Report(target, statement, new AdmittedCount(sent, sentSince));
+        return new Report(
+                target,
+                statement,
+                new AdmittedCount(sent, sentSince),
+                hasColdNews(state, now)
+                        ? OptionalLong.of(state.coldUntil - now)
+                        : OptionalLong.empty());
     }
 }
