Apply limits of cold targets in gateways and workers

Cause: the decisions of ColdTargets were not used. Lists, silence, answers and peers' reports reach it now; probes wait for slots of their own; calls and items are offered cold targets in turn.

--- a/core/src/main/java/org/sardinelift/core/load/RateLimitedTargetSample.java
+++ b/core/src/main/java/org/sardinelift/core/load/RateLimitedTargetSample.java
@@ -25,6 +25,9 @@
     /** Offers to a cold target per second at the lowest limits. */
     private static final double MIN_OFFERS_WHILE_COLD = 15;
 
+    /** Time between two looks of a worker for free slots. */
+    private static final long ITEM_TURN_NANOS = 50_000_000L;
+
     private static final double DRAWS = 1L << 32;
 
     private RateLimitedTargetSample() {}
@@ -65,6 +68,21 @@
                 draw);
     }
 
+    /**
+     * Returns whether a worker may start a batch item on a cold target now. All workers see the
+     * moment at which its limit allows a request, so that each has a turn of its own.
+     *
+     * @param target the target
+     * @param instance name of the worker
+     * @param workers number of workers
+     * @param now the time, nanoseconds
+     * @return true for one worker at a time on average
+     */
+    public static boolean includesColdItem(String target, String instance, long workers, long now) {
+        long turn = now / ITEM_TURN_NANOS;
+        return isDrawn(target, 1, workers, turn * 0xBF58476D1CE4E5B9L + instance.hashCode());
+    }
+
     private static boolean isDrawn(
             String target, double offersPerSecond, double fleetCallsPerSecond, long draw) {
         long mixed = (draw ^ target.hashCode()) * 0x9E3779B97F4A7C15L;
--- a/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
+++ b/core/src/main/java/org/sardinelift/core/quota/TargetRateLimits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,6 +55,10 @@
     private final FleetQuota quota;
     private final long repeatNanos;
     private final Map<String, State> states = new HashMap<>();
+
+    /** Targets that may have to be reported, as not all of many are visited for each report. */
+    private final Set<String> recentlyChanged = new HashSet<>();
+
     private int limitedCount;
 
     private TargetRateLimits(FleetQuota quota, Duration repeatPeriod) {
@@ -174,6 +179,7 @@
                             .isEmpty();
             if (isNews || change.isPresent()) {
                 updated.ownChangedAt = now;
+                recentlyChanged.add(target);
             }
             updated.own = Optional.of(statement);
         }
@@ -277,6 +283,7 @@
             state.hasColdEvidence = true;
             state.coldUntil = until;
             state.coldSeenAt = now;
+            recentlyChanged.add(target);
         }
     }
 
@@ -393,6 +400,7 @@
             state.firstRequestAt = now;
         }
         state.lastRequestAt = now;
+        recentlyChanged.add(target);
     }
 
     /**
@@ -423,20 +431,34 @@
      * @return the targets, those with the latest change or request first
      */
     public List<Report> reports(boolean isFull, long now) {
-        return states.entrySet().stream()
-                .filter(each -> isReported(each.getValue(), isFull, now))
-                .sorted((a, b) -> Long.signum(changedAt(b.getValue()) - changedAt(a.getValue())))
-                .map(each -> toReport(each.getKey(), each.getValue(), now))
-                .toList();
+        recentlyChanged.removeIf(each -> !hasNews(each, now));
+        return (isFull ? states.keySet() : recentlyChanged)
+                .stream()
+                        .map(each -> Map.entry(each, states.get(each)))
+                        .filter(each -> isReported(each.getValue(), isFull, now))
+                        .sorted(
+                                (a, b) ->
+                                        Long.signum(
+                                                changedAt(b.getValue()) - changedAt(a.getValue())))
+                        .map(each -> toReport(each.getKey(), each.getValue(), now))
+                        .toList();
     }
 
-    private boolean isReported(State state, boolean isFull, long now) {
+    private boolean hasNews(String target, long now) {
+        State state = states.get(target);
+        return state != null && hasNews(state, now);
+    }
+
+    private boolean hasNews(State state, long now) {
         boolean hasOwnNews = state.own.isPresent() && now - state.ownChangedAt < repeatNanos;
         boolean hasNewRequests = state.hasRequests && now - state.lastRequestAt < repeatNanos;
+        return hasOwnNews || hasNewRequests || hasColdNews(state, now);
+    }
+
+    private boolean isReported(State state, boolean isFull, long now) {
         boolean isKnownHere = state.own.isPresent() || state.hasRequests;
         boolean isReportedInFull = isFull && isLimited(state) && isKnownHere;
-        return state.isRegistered
-                && (hasOwnNews || hasNewRequests || isReportedInFull || hasColdNews(state, now));
+        return state.isRegistered && (isReportedInFull || hasNews(state, now));
     }
 
     private boolean hasColdNews(State state, long now) {
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -65,6 +65,7 @@
                         adapter.probePath(),
                         settings.typicalFirstEvent(),
                         settings.typicalCallTime());
+        targetTable.setAnswerListener(node.network().rateLimits().cold()::onAnswerChanged);
         CallPipeline pipeline =
                 CallPipeline.create(
                         settings,
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -125,11 +125,7 @@
                         store,
                         control,
                         storeAvailability,
-                        (name, peerRole, address) ->
-                                loop.execute(
-                                        () ->
-                                                network.onInstanceRegistered(
-                                                        name, peerRole, address)));
+                        instanceListener());
         this.crashCauses =
                 CrashCauseFeed.of(
                         store,
@@ -149,6 +145,20 @@
                                                         .onRecord(ages, System.nanoTime())));
     }
 
+    private InstanceFeed.Listener instanceListener() {
+        return new InstanceFeed.Listener() {
+            @Override
+            public void onInstanceRegistered(String name, PeerRole peerRole, Endpoint address) {
+                loop.execute(() -> network.onInstanceRegistered(name, peerRole, address));
+            }
+
+            @Override
+            public void onListed() {
+                loop.execute(network::onInstancesListed);
+            }
+        };
+    }
+
     /** Has this instance write which versions were registered, if it reads the targets itself. */
     private void recordVersions() {
         if (network.isTargetsReader()) {
@@ -230,6 +240,13 @@
 
     void start(Listener newListener) {
         listener = newListener;
+        targets.setListListener(
+                (entries, readAt) ->
+                        loop.execute(
+                                () ->
+                                        network.rateLimits()
+                                                .cold()
+                                                .onListed(entries.values(), readAt)));
         plans.start();
         // Without the record, versions that have just gone are unknown.
         versionRecord.start(targets::start);
@@ -247,6 +264,7 @@
         loop.execute(
                 () -> {
                     network.quota().updateLimits(plan.rateLimits(), System.nanoTime());
+                    network.rateLimits().cold().onPlan(plan);
                     network.onLocalChange();
                     listener.onPlanChanged(plan);
                 });
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.peer.Peer;
+import org.sardinelift.core.quota.ColdTargets;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.gateway.feed.TargetFeed;
@@ -36,6 +37,7 @@
         root.put("plan", planVersion);
         root.put("storeAnswers", storeAvailability.isAvailable());
         root.put("targetsRevision", targetFeed.snapshot().revision());
+        root.put("coldTargets", network.rateLimits().cold().count());
         root.put("knownStreams", network.streams().knownStreams());
         root.put("droppedStreams", network.streams().droppedStreams());
         ArrayNode peers = root.putArray("peers");
@@ -62,6 +64,7 @@
                                     .put("leaving", target.registration().isLeaving())
                                     .put("usable", target.health().isUsable(now))
                                     .put("rateLimit", rateLimit(targetTable, target))
+                                    .put("cold", coldReason(network, target))
                                     .put("requests", target.requests())
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
@@ -81,6 +84,14 @@
         return limit.isPresent() ? limit.getAsDouble() : null;
     }
 
+    private static @Nullable String coldReason(PeerNetwork network, TargetTable.Target target) {
+        return network.rateLimits()
+                .cold()
+                .reason(target.registration().incarnation())
+                .map(ColdTargets.Reason::label)
+                .orElse(null);
+    }
+
     private static long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -46,6 +46,7 @@
                         adapter.probePath(),
                         TYPICAL_FIRST_EVENT,
                         TYPICAL_CALL_TIME);
+        targetTable.setAnswerListener(node.network().rateLimits().cold()::onAnswerChanged);
         this.worker =
                 JobWorker.create(
                         settings,
--- a/gateway/src/main/java/org/sardinelift/gateway/call/RateLimitedTargetFilter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/RateLimitedTargetFilter.java
@@ -37,13 +37,17 @@
     }
 
     private boolean isOffered(ForwardedCall call, TargetLoad load) {
-        OptionalDouble limit = targets.rateLimit(targets.find(load.id()).orElseThrow());
+        TargetTable.Target target = targets.find(load.id()).orElseThrow();
+        OptionalDouble limit = targets.rateLimit(target);
+        long draw = call.call().id().hashCode() ^ call.arrivedAt();
+        if (limit.isPresent() && targets.isCold(target)) {
+            // Many calls are resent at the same moment, such as when a zone is lost.
+            return RateLimitedTargetSample.includesCold(
+                    load.id(), limit.getAsDouble(), rateLimits.fleetCallsPerSecond(), draw);
+        }
         return call.sends() > 0
                 || limit.isEmpty()
                 || RateLimitedTargetSample.includes(
-                        load.id(),
-                        limit.getAsDouble(),
-                        rateLimits.fleetCallsPerSecond(),
-                        call.call().id().hashCode() ^ call.arrivedAt());
+                        load.id(), limit.getAsDouble(), rateLimits.fleetCallsPerSecond(), draw);
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -54,6 +54,7 @@
     private final Set<Incarnation> leavingIncarnations = new LinkedHashSet<>();
     private final List<TargetExclusion> exclusions = new ArrayList<>();
     private DeathListener deathListener = (request, target) -> {};
+    private AnswerListener answerListener = (target, answers) -> {};
 
     /** Is notified of targets that died. */
     public interface DeathListener {
@@ -66,6 +67,17 @@
         void onDeath(RequestTraits request, String target);
     }
 
+    /** Is notified of targets that don't answer, and that do so again. */
+    public interface AnswerListener {
+        /**
+         * A target does not answer, or does so after it did not or after it broke a connection.
+         *
+         * @param target the incarnation
+         * @param answers whether it answers
+         */
+        void onAnswerChanged(String target, boolean answers);
+    }
+
     /** One life of a target; a restarted target may keep its id and address. */
     private record Incarnation(
             String id, long startedAtMs, String host, int port, String softwareVersion) {
@@ -87,6 +99,7 @@
         private RegisteredTarget registration;
         private boolean isMisdirected;
         private boolean isProbePending;
+        private boolean hasBrokenConnection;
         private long requests;
         private long lastBytesAt;
 
@@ -207,6 +220,25 @@
         deathListener = listener;
     }
 
+    /**
+     * Sets the listener that is notified of targets that don't answer.
+     *
+     * @param listener the listener
+     */
+    public void setAnswerListener(AnswerListener listener) {
+        answerListener = listener;
+    }
+
+    /**
+     * Whether a target is limited as a cold one.
+     *
+     * @param target the target
+     * @return true also where it states a lower limit
+     */
+    public boolean isCold(Target target) {
+        return rateLimits.isCold(target.incarnation);
+    }
+
     /**
      * Adds a reason for which targets get no requests; before the start.
      *
@@ -453,6 +485,7 @@
         }
         LogEvent.of("target.silent").with("target", target.id()).with("reason", reason).warn();
         client.closeIdleConnections(target.registration.host(), target.registration.port());
+        answerListener.onAnswerChanged(target.incarnation, false);
         probe(target);
     }
 
@@ -479,6 +512,7 @@
     public void onConnectionBroken(Target target, RequestTraits request) {
         onCallFailed(target);
         onConnectionEnded(target, request);
+        target.hasBrokenConnection = true;
         verifyAlive(target, () -> {});
     }
 
@@ -510,6 +544,18 @@
             return;
         }
         target.isProbePending = true;
+        long delay =
+                isCold(target)
+                        ? rateLimits.nanosUntilProbe(target.incarnation, System.nanoTime())
+                        : 0;
+        if (delay == 0) {
+            sendVerification(target, onAlive);
+        } else {
+            loop.schedule(() -> sendVerification(target, onAlive), delay, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void sendVerification(Target target, Runnable onAlive) {
         onRequest(target);
         client.call(probeCall(target))
                 .whenComplete(
@@ -519,15 +565,24 @@
                                 onSilent(
                                         target, "no answer to the probe after a broken connection");
                             } else {
+                                onVerified(target);
                                 onAlive.run();
                             }
                         });
     }
 
+    /** A target that broke a connection and answers may have restarted. */
+    private void onVerified(Target target) {
+        if (target.hasBrokenConnection) {
+            target.hasBrokenConnection = false;
+            answerListener.onAnswerChanged(target.incarnation, true);
+        }
+    }
+
     private void probe(Target target) {
         long now = System.nanoTime();
         boolean isRegistered = targets.get(target.id()) == target;
-        long delay = rateLimits.nanosUntilRequest(target.incarnation, now);
+        long delay = rateLimits.nanosUntilProbe(target.incarnation, now);
         if (isRegistered && delay > 0) {
             loop.schedule(() -> probe(target), delay, TimeUnit.NANOSECONDS);
             return;
@@ -559,6 +614,7 @@
         target.health.onProbeEnded(hasAnswered, System.nanoTime());
         if (hasAnswered) {
             target.onBytesReceived(System.nanoTime());
+            answerListener.onAnswerChanged(target.incarnation, true);
             LogEvent.of("target.answers").with("target", target.id()).info();
             return;
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
@@ -48,6 +48,9 @@
          * @param address address at which it receives reports
          */
         void onInstanceRegistered(String name, PeerRole role, Endpoint address);
+
+        /** All instances in the list were passed on. */
+        default void onListed() {}
     }
 
     private InstanceFeed(
@@ -107,6 +110,7 @@
             return;
         }
         listed.objects().forEach(this::readRegistration);
+        listener.onListed();
         Optional<StoredObject> ownObject =
                 listed.objects().stream()
                         .filter(object -> object.key().name().equals(instance))
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.plan.TargetRegistry;
 import org.sardinelift.gateway.PlatformAdapter;
@@ -46,6 +47,7 @@
     private final TargetRegistry registry = TargetRegistry.empty();
     private final Map<String, String> loggedReasons = new HashMap<>();
     private final ReadPolicy readPolicy;
+    private ListListener listListener = (entries, readAt) -> {};
     private volatile Snapshot snapshot = new Snapshot(List.of(), 0, 0, 0);
     private volatile long listedAt;
 
@@ -96,6 +98,26 @@
         return new TargetFeed(adapter, store, control, storeAvailability, readPolicy, listener);
     }
 
+    /** Is notified of each list, on the control thread. */
+    public interface ListListener {
+        /**
+         * The targets were listed or confirmed, whether or not they have changed.
+         *
+         * @param entries registrations by id
+         * @param readAt when the list was requested, nanoseconds
+         */
+        void onListed(Map<String, RegisteredTarget> entries, long readAt);
+    }
+
+    /**
+     * Sets what is notified of each list before the targets' listener; before the start.
+     *
+     * @param newListener the listener
+     */
+    public void setListListener(ListListener newListener) {
+        listListener = newListener;
+    }
+
     /** Starts to list. */
     public void start() {
         control.execute(this::list);
@@ -141,6 +163,7 @@
                 && current.readAt() != 0
                 && readAt - current.readAt() > 0) {
             snapshot = new Snapshot(current.objects(), current.revision(), changedRevision, readAt);
+            listListener.onListed(registry.targets(), readAt);
         }
     }
 
@@ -207,6 +230,7 @@
                                 ? changedRevision
                                 : list.changedRevision(),
                         list.readAt());
+        listListener.onListed(registry.targets(), list.readAt());
         if (isChanged) {
             logChanges(previous, registry.targets(), source);
             listener.accept(registry.targets());
@@ -228,12 +252,17 @@
         }
     }
 
+    /** Whether an entry says anything new but the remaining cold time, which always changes. */
+    private static boolean isChanged(RegisteredTarget entry, @Nullable RegisteredTarget previous) {
+        return previous == null || !entry.withoutColdTime().equals(previous.withoutColdTime());
+    }
+
     private static void logChanges(
             Map<String, RegisteredTarget> previous,
             Map<String, RegisteredTarget> updated,
             String source) {
         updated.values().stream()
-                .filter(entry -> !entry.equals(previous.get(entry.id())))
+                .filter(entry -> isChanged(entry, previous.get(entry.id())))
                 .forEach(
                         entry ->
                                 LogEvent.of(entry.isLeaving() ? "target.leaving" : "target.listed")
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -113,7 +113,7 @@
         this.loop = loop;
         this.plans = plans;
         this.headers = headers;
-        this.itemTargets = new ItemTargets(table);
+        this.itemTargets = new ItemTargets(table, network, instance);
         this.slotSelector =
                 BatchSlotSelector.of(
                         zone, FREE_SLOT_SETTLE_TIME, OTHER_ZONE_SETTLE_TIME, NEXT_START_DELAY);
@@ -401,7 +401,7 @@
     }
 
     private Optional<TargetLoad> selectSlot(TargetGroup group, long now) {
-        List<TargetLoad> loads = table.usableLoads(group, Set.of(), now);
+        List<TargetLoad> loads = itemTargets.offered(table.usableLoads(group, Set.of(), now), now);
         Optional<TargetLoad> slot = slotSelector.select(loads, now);
         if (slot.isEmpty() && slotSelector.hasFreeSlot(loads)) {
             rescheduleAfter(NEXT_START_DELAY);
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
@@ -1,14 +1,20 @@
 package org.sardinelift.gateway.job;
 
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.sardinelift.core.joblog.ItemProgress;
 import org.sardinelift.core.joblog.ItemSchedule.ScheduledItem;
+import org.sardinelift.core.load.RateLimitedTargetSample;
+import org.sardinelift.core.load.TargetLoad;
+import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.ServingPlan;
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.call.TargetTable;
+import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.runtime.log.LogEvent;
 
 /**
@@ -16,10 +22,17 @@
  * it those with the software version that wrote the output. On the event loop.
  */
 final class ItemTargets {
+    /** Longer than any item waits for a slot. */
+    private static final long NOT_OFFERED_DELAY_NANOS = Duration.ofMinutes(1).toNanos();
+
     private final TargetTable table;
+    private final PeerNetwork network;
+    private final String instance;
 
-    ItemTargets(TargetTable table) {
+    ItemTargets(TargetTable table, PeerNetwork network, String instance) {
         this.table = table;
+        this.network = network;
+        this.instance = instance;
     }
 
     /** The targets that may run an item; one that has begun goes on at its software version. */
@@ -64,6 +77,27 @@
                                                 .equals(serviceGroup(scheduled, plan).service()));
     }
 
+    /** Shows cold targets as not free unless it is this worker's turn to start an item there. */
+    List<TargetLoad> offered(List<TargetLoad> loads, long now) {
+        if (network.rateLimits().limits().isEmpty()) {
+            return loads;
+        }
+        long workers = 1 + network.peers().livePeers(PeerRole.WORKER, now).count();
+        return loads.stream()
+                .map(
+                        load ->
+                                isOffered(load, workers, now)
+                                        ? load
+                                        : load.withRateLimit(NOT_OFFERED_DELAY_NANOS))
+                .toList();
+    }
+
+    private boolean isOffered(TargetLoad load, long workers, long now) {
+        boolean isCold = table.find(load.id()).filter(table::isCold).isPresent();
+        return !isCold
+                || RateLimitedTargetSample.includesColdItem(load.id(), instance, workers, now);
+    }
+
     /** Discards the output of an item, so that any target of its service may run it. */
     void startOver(ScheduledItem scheduled, String reason) {
         ItemProgress item = scheduled.item();
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerMetrics.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerMetrics.java
@@ -11,8 +11,19 @@
                     .labelNames("to")
                     .register();
 
+    private static final Counter COLD_TARGETS =
+            Counter.builder()
+                    .name("sardinelift_cold_targets_total")
+                    .help("Targets that became cold, by reason, or whose cold time ended")
+                    .labelNames("change")
+                    .register();
+
     private PeerMetrics() {}
 
+    static void countCold(String change) {
+        COLD_TARGETS.labelValues(change).inc();
+    }
+
     static void countSent(boolean isSameZone) {
         REPORTS.labelValues(isSameZone ? "own_zone" : "other_zone").inc();
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -84,8 +84,7 @@
             new TargetUseReports(PEER_SILENCE_TIMEOUT.multipliedBy(2), UNREPORTED_LOAD_LIFETIME);
     private final TeamQuotaReports quotas =
             new TeamQuotaReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
-    private final RateLimitReports rateLimits =
-            new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
+    private final RateLimitReports rateLimits;
     private final CrashReports crashes;
     private final StreamExchange streams;
     private final List<ReportSection> sections;
@@ -174,6 +173,9 @@
         this.streams =
                 new StreamExchange(
                         settings.instance(), loop, this::sendStreams, this::isTargetListCurrent);
+        this.rateLimits =
+                new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE), settings);
+        rateLimits.cold().setEvidenceListener(this::onLocalChange);
         this.sections = List.of(uses, quotas, rateLimits, streams, crashes);
         this.reportBuilder = new ReportBuilder(settings, role, storeReadState, peers, sections);
         this.relay = new ReportRelay(settings, role, peers, loop, this::sendRelayed);
@@ -368,6 +370,11 @@
         }
     }
 
+    /** All instances found in the store were registered here. */
+    public void onInstancesListed() {
+        rateLimits.onInstancesListed();
+    }
+
     private void introduceToSeeds() {
         PeerReport report = reportBuilder.buildIncremental();
         report.setIntroduce(true);
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
@@ -14,7 +14,9 @@
 import org.sardinelift.core.quota.AdmittedCount;
 import org.sardinelift.core.quota.FleetQuota;
 import org.sardinelift.core.quota.QuotaBounds;
+import org.sardinelift.core.quota.StrictSharing;
 import org.sardinelift.core.quota.TargetRateLimits;
+import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.protocol.generated.LimitedTarget;
 import org.sardinelift.protocol.generated.PeerReport;
 
@@ -27,10 +29,20 @@
     /** Keeps a report far below the longest datagram. */
     private static final int MAX_REPORTED_TARGETS = 300;
 
+    /**
+     * Silence of a peer from which on its part of a cold target's limit is reserved: more than one
+     * report to other zones, and so short that the calls offered meanwhile stay within the bound.
+     */
+    private static final Duration STRICT_SILENCE_TIMEOUT = Duration.ofMillis(350);
+
+    /** Time in which the instances that report to the first peer report here as well. */
+    private static final Duration FLEET_SETTLE_TIME = Duration.ofSeconds(1);
+
     private static final Duration CALL_RATE_WINDOW = Duration.ofSeconds(1);
 
     private final FleetQuota quota;
     private final TargetRateLimits limits;
+    private final ColdTargetLimits cold;
     private final CallRate ownCalls = CallRate.averagedOver(CALL_RATE_WINDOW);
     private final Map<String, Double> callsPerSecondOfPeers = new HashMap<>();
     private double fleetCallsPerSecond;
@@ -39,10 +51,20 @@
      * Creates the state of an instance that knows no limits.
      *
      * @param bounds timeouts after which peers are taken as silent
+     * @param settings name of this instance and size of the fleet
      */
-    RateLimitReports(QuotaBounds bounds) {
-        this.quota = FleetQuota.create(bounds, System.nanoTime());
+    RateLimitReports(QuotaBounds bounds, NodeSettings settings) {
+        long now = System.nanoTime();
+        this.quota = FleetQuota.create(bounds, now);
+        quota.shareStrictly(
+                new StrictSharing(
+                        STRICT_SILENCE_TIMEOUT,
+                        settings.maxInstances(),
+                        FLEET_SETTLE_TIME,
+                        settings.instance().hashCode() ^ now),
+                now);
         this.limits = TargetRateLimits.create(quota, ReportBuilder.CHANGE_REPEAT_PERIOD);
+        this.cold = new ColdTargetLimits(limits);
     }
 
     /**
@@ -54,6 +76,20 @@
         return limits;
     }
 
+    /**
+     * The targets that are limited as cold ones.
+     *
+     * @return the targets
+     */
+    public ColdTargetLimits cold() {
+        return cold;
+    }
+
+    /** All instances in the store were added. */
+    void onInstancesListed() {
+        quota.onInstancesListed(System.nanoTime());
+    }
+
     /**
      * A call of a caller arrived here.
      *
@@ -91,6 +127,7 @@
     @Override
     public void tick(PeerTable peers, long now) {
         quota.detectSilentPeers(now);
+        cold.tick(now);
         fleetCallsPerSecond =
                 ownCalls.perSecond(now)
                         + peers.all().stream()
@@ -123,6 +160,8 @@
                             limited.setAgeMs(TimeUnit.NANOSECONDS.toMillis(now - statement.at()));
                             statement.perSecond().ifPresent(limited::setPerSecond);
                         });
+        target.coldLeftNanos()
+                .ifPresent(left -> limited.setColdLeftMs(TimeUnit.NANOSECONDS.toMillis(left)));
         return limited;
     }
 
@@ -131,6 +170,13 @@
         callsPerSecondOfPeers.put(peer.name(), report.getCallsPerSecond());
         List<LimitedTarget> targets =
                 report.isSetLimitedTargets() ? report.getLimitedTargets() : List.of();
+        targets.forEach(
+                target ->
+                        cold.onPeerReport(
+                                peer.name(),
+                                target.getTarget(),
+                                target.isSetColdLeftMs() ? target.getColdLeftMs() : 0,
+                                now));
         targets.stream()
                 .filter(LimitedTarget::isSetAgeMs)
                 .forEach(target -> onStatement(peer, target, now));
