Documents on cold targets; keep the platform's wire name in its module

Cause: AdapterBoundaryTest refuses coldLeftMs outside of platform/. Renamed remainingColdMs in core and gateway. The test still fails for the generated LimitedTarget, which has the name since (not changed here: the Thrift field has to be renamed and generated again).

--- a/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
+++ b/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
@@ -14,8 +14,8 @@
  * @param isLeaving whether it accepts no new calls
  * @param startedAtMs when this incarnation started, Unix milliseconds; 0 if unknown
  * @param softwareVersion version of the software that writes its streams, empty if it states none
- * @param coldLeftMs time for which it stays cold after it wrote this, 0 if it isn't cold; empty if
- *     unknown
+ * @param remainingColdMs time for which it stays cold after it wrote this, 0 if it isn't cold;
+ *     empty if unknown
  */
 public record RegisteredTarget(
         String id,
@@ -27,7 +27,7 @@
         boolean isLeaving,
         long startedAtMs,
         String softwareVersion,
-        OptionalLong coldLeftMs) {
+        OptionalLong remainingColdMs) {
 
     /**
      * Creates an entry that doesn't state whether the target is cold.
--- a/core/src/main/java/org/sardinelift/core/quota/ColdTargets.java
+++ b/core/src/main/java/org/sardinelift/core/quota/ColdTargets.java
@@ -230,7 +230,7 @@
         }
         life.entry = entry;
         life.plan = plan;
-        long left = entry.coldLeftMs().orElse(-1);
+        long left = entry.remainingColdMs().orElse(-1);
         Duration age = Duration.ofNanos(now - listedAt);
         if (left > 0) {
             onStated(life, listedAt, nanosOf(left), now).ifPresent(changes);
@@ -407,18 +407,18 @@
      * A peer reported a target as cold, or requests to it under a limit.
      *
      * @param target the incarnation
-     * @param coldLeftMs time for which it stays cold; 0 or less if the report doesn't state it
+     * @param remainingColdMs time for which it stays cold; 0 or less if the report doesn't state it
      * @param now the time
      * @return the change, empty if there is none
      */
-    public Optional<Change> onPeerReport(String target, long coldLeftMs, long now) {
+    public Optional<Change> onPeerReport(String target, long remainingColdMs, long now) {
         Life life = lives.get(target);
         if (life == null) {
             return onOtherIncarnation(target, now);
         }
-        long left = nanosOf(coldLeftMs);
+        long left = nanosOf(remainingColdMs);
         boolean isNews =
-                coldLeftMs > 0 && (!life.isCold || life.hasEnd && now + left - life.until > 0);
+                remainingColdMs > 0 && (!life.isCold || life.hasEnd && now + left - life.until > 0);
         return isNews ? become(life, Reason.PEER, left, MAX_LIST_AGE_NANOS, now) : Optional.empty();
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/ColdTargetLimits.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/ColdTargetLimits.java
@@ -67,8 +67,10 @@
         record(targets.onEvacuationEnded(zone, System.nanoTime()), "evacuation");
     }
 
-    void onPeerReport(String peer, String target, long coldLeftMs, long now) {
-        record(targets.onPeerReport(target, coldLeftMs, now).stream().toList(), "peer " + peer);
+    void onPeerReport(String peer, String target, long remainingColdMs, long now) {
+        record(
+                targets.onPeerReport(target, remainingColdMs, now).stream().toList(),
+                "peer " + peer);
     }
 
     void tick(long now) {
