--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -10,6 +10,7 @@
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.load.WorkTime;
 import org.sardinelift.core.peer.Peer;
+import org.sardinelift.core.quota.ColdTargets;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.gateway.feed.TargetFeed;
@@ -38,6 +39,7 @@
         root.put("storeAnswers", storeAvailability.isAvailable());
         root.put("targetsRevision", targetFeed.snapshot().revision());
         root.put("loopDelayMs", network.loopDelay().delay(now).toMillis());
+        root.put("coldTargets", network.rateLimits().cold().count());
         root.put("knownStreams", network.streams().knownStreams());
         root.put("droppedStreams", network.streams().droppedStreams());
         ArrayNode peers = root.putArray("peers");
@@ -65,6 +67,7 @@
                                     .put("usable", target.health().isUsable(now))
                                     .put("rateLimit", rateLimit(targetTable, target))
                                     .put("workTime", workTime(target, now))
+                                    .put("cold", coldReason(network, target))
                                     .put("requests", target.requests())
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
@@ -89,6 +92,14 @@
         return workTime.isStated() ? workTime.estimate(now) : null;
     }
 
+    private static @Nullable String coldReason(PeerNetwork network, TargetTable.Target target) {
+        return network.rateLimits()
+                .cold()
+                .reason(target.registration().incarnation())
+                .map(ColdTargets.Reason::label)
+                .orElse(null);
+    }
+
     private static long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
