--- a/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewaySettings.java
@@ -46,6 +46,7 @@
      * @return the settings
      */
     public static GatewaySettings read(SettingsNode node) {
+        SettingsNode admission = node.object("admission");
         return new GatewaySettings(
                 NodeSettings.read(node),
                 Endpoint.read(node, "caller"),
@@ -65,8 +66,8 @@
                 // Well under the idle time after which targets close connections.
                 node.millis("connectionIdleMs", 2_000),
                 node.millis("unrepeatableReuseMs", 0),
-                maxLoopDelay(node.object("admission")),
-                node.object("admission").flag("fairShares", false));
+                maxLoopDelay(admission),
+                admission.flag("fairShares", false));
     }
 
     private static Optional<Duration> maxLoopDelay(SettingsNode node) {
