Send nothing to the targets of evacuated zones

Where evacuation.applyMs is set, instances read the evacuations or get them from reports, and leave out the targets of evacuated zones: calls, resends, resumed streams, items and probes. If all targets of a call are in such zones it is refused at once as zones_evacuated. An instance that starts lists the evacuations before the targets.

--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -14,6 +14,7 @@
 import org.sardinelift.core.poison.RefusedTrait;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.CrashCauseFeed;
+import org.sardinelift.gateway.feed.EvacuationFeed;
 import org.sardinelift.gateway.feed.InstanceFeed;
 import org.sardinelift.gateway.feed.PeerSnapshots;
 import org.sardinelift.gateway.feed.PlanFeed;
@@ -136,6 +137,7 @@
                         control,
                         storeAvailability,
                         trait -> loop.execute(() -> network.crashes().onStoredTrait(trait)));
+        adapter.evacuationKind().ifPresent(this::listEvacuations);
         this.versionRecord =
                 VersionRecordFeed.of(
                         store,
@@ -149,6 +151,19 @@
                                                         .onRecord(ages, System.nanoTime())));
     }
 
+    private void listEvacuations(String kind) {
+        network.evacuations()
+                .ifPresent(each -> each.setLister(EvacuationFeed.of(kind, store, control, loop)));
+    }
+
+    /** Starts to list the targets, once the evacuated zones among theirs are known. */
+    private void startTargets() {
+        network.evacuations()
+                .ifPresentOrElse(
+                        each -> loop.execute(() -> each.runAfterFirstList(targets::start)),
+                        targets::start);
+    }
+
     /** Has this instance write which versions were registered, if it reads the targets itself. */
     private void recordVersions() {
         if (network.isTargetsReader()) {
@@ -232,7 +247,7 @@
         listener = newListener;
         plans.start();
         // Without the record, versions that have just gone are unknown.
-        versionRecord.start(targets::start);
+        versionRecord.start(this::startTargets);
         instances.start();
         storeRefusedTraits();
         crashCauses.start();
@@ -263,6 +278,7 @@
     /** Serves snapshots, status, metrics and the role's own calls on the internal port. */
     HttpServer startInternalServer(TargetTable table, HttpHandler roleHandler)
             throws BindException {
+        network.evacuations().ifPresent(each -> table.addExclusion(each::isExcluded));
         return HttpServer.start(
                 group,
                 settings.internalAddress().host(),
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -7,11 +7,13 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.sardinelift.core.evacuation.ZoneEvacuations;
 import org.sardinelift.core.load.TargetCalls;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.gateway.feed.TargetFeed;
+import org.sardinelift.gateway.peer.EvacuationReports;
 import org.sardinelift.gateway.peer.PeerNetwork;
 
 /**
@@ -38,6 +40,8 @@
         root.put("targetsRevision", targetFeed.snapshot().revision());
         root.put("knownStreams", network.streams().knownStreams());
         root.put("droppedStreams", network.streams().droppedStreams());
+        network.evacuations()
+                .ifPresent(each -> addEvacuations(root.putObject("evacuations"), each, now));
         ArrayNode peers = root.putArray("peers");
         network.peers().all().stream()
                 .sorted(Comparator.comparing(Peer::name))
@@ -76,6 +80,25 @@
         return root.toString();
     }
 
+    private static void addEvacuations(ObjectNode node, EvacuationReports reports, long now) {
+        ZoneEvacuations state = reports.state();
+        state.current()
+                .ifPresent(
+                        list ->
+                                node.put("revision", list.revision())
+                                        .put("ageMs", millis(now - list.listedAt()))
+                                        .put("source", state.source()));
+        ArrayNode zones = node.putArray("zones");
+        state.evacuations()
+                .forEach(
+                        each ->
+                                zones.addObject()
+                                        .put("zone", each.zone())
+                                        .put("forMs", millis(now - each.startedAt()))
+                                        .put("revision", each.revision())
+                                        .put("source", each.source()));
+    }
+
     private static @Nullable Double rateLimit(TargetTable table, TargetTable.Target target) {
         OptionalDouble limit = table.rateLimit(target);
         return limit.isPresent() ? limit.getAsDouble() : null;
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -31,6 +31,8 @@
         NO_ROOM(503, "no_room", "not_run"),
         /** No target is available at all. */
         NO_TARGET(503, "no_target", "not_run"),
+        /** All targets that may run the call are in zones that are evacuated. */
+        ZONES_EVACUATED(503, "zones_evacuated", "not_run"),
         /** This gateway has no configuration yet. */
         NOT_READY(503, "not_ready", "not_run"),
         /** Every target that received the call failed, or may have run it. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -185,6 +185,11 @@
             return;
         }
         Duration left = timeLeft(now);
+        if (refusal.hasNoTarget() && isEvacuated()) {
+            finish(Kind.ZONES_EVACUATED.label());
+            EvacuationRefusal.send(exchange, call, group, context.network(), left, now);
+            return;
+        }
         Duration untilSlot =
                 refusal.hasNoTarget() ? TARGET_REGISTRATION_TIME : refusal.retryAfter();
         Duration retryDelay =
@@ -201,6 +206,13 @@
         ErrorResponses.send(exchange, kind, call.id(), detail, retryDelay);
     }
 
+    private boolean isEvacuated() {
+        return context.network()
+                .evacuations()
+                .filter(each -> context.targets().isEachExcluded(group, each::isExcluded))
+                .isPresent();
+    }
+
     /** The figures behind a refusal, for the log and the caller. */
     private String refusalDetail(Choice.Refused refusal, long now) {
         List<TargetLoad> loads = context.targets().usableLoads(group, triedTargets, now);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
@@ -45,6 +45,7 @@
         double slotsPerSecond =
                 targets.all().stream()
                         .filter(target -> target.health().isUsable(now))
+                        .filter(target -> !targets.isExcluded(target))
                         .mapToDouble(this::freedSlotsPerSecond)
                         .sum();
         long gateways = 1 + network.peers().livePeers(PeerRole.GATEWAY, now).count();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -216,7 +216,13 @@
         exclusions.add(exclusion);
     }
 
-    private boolean isExcluded(Target target) {
+    /**
+     * Whether nothing may be sent to a target for a reason other than its health.
+     *
+     * @param target the target
+     * @return whether an exclusion applies to it
+     */
+    public boolean isExcluded(Target target) {
         return exclusions.stream().anyMatch(each -> each.isExcluded(target.registration));
     }
 
@@ -307,6 +313,21 @@
                 .anyMatch(target -> group.includes(target.registration) && !isLeaving(target));
     }
 
+    /**
+     * Whether an exclusion is why a group has no target to send to.
+     *
+     * @param group the targets that may run the call
+     * @param exclusion the exclusion
+     * @return whether it applies to all targets of the group that serve, and there are some
+     */
+    public boolean isEachExcluded(TargetGroup group, TargetExclusion exclusion) {
+        return hasServing(group)
+                && targets.values().stream()
+                        .filter(target -> group.includes(target.registration))
+                        .filter(target -> !isLeaving(target))
+                        .allMatch(target -> exclusion.isExcluded(target.registration));
+    }
+
     /**
      * Loads of all targets that calls may be sent to.
      *
@@ -500,13 +521,13 @@
     }
 
     /**
-     * Probes a target on a new connection unless that is under way.
+     * Probes a target on a new connection unless that is under way or nothing may be sent to it.
      *
      * @param target the target
      * @param onAlive runs if it answers
      */
     public void verifyAlive(Target target, Runnable onAlive) {
-        if (target.isProbePending) {
+        if (target.isProbePending || isExcluded(target)) {
             return;
         }
         target.isProbePending = true;
@@ -527,7 +548,10 @@
     private void probe(Target target) {
         long now = System.nanoTime();
         boolean isRegistered = targets.get(target.id()) == target;
-        long delay = rateLimits.nanosUntilRequest(target.incarnation, now);
+        long delay =
+                isExcluded(target)
+                        ? PROBE_INTERVAL.toNanos()
+                        : rateLimits.nanosUntilRequest(target.incarnation, now);
         if (isRegistered && delay > 0) {
             loop.schedule(() -> probe(target), delay, TimeUnit.NANOSECONDS);
             return;
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.peer.Peer;
@@ -88,6 +89,7 @@
             new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final CrashReports crashes;
     private final StreamExchange streams;
+    private final Optional<EvacuationReports> evacuations;
     private final List<ReportSection> sections;
     private final StoreReadState storeReadState;
     private final ReportBuilder reportBuilder;
@@ -174,7 +176,12 @@
         this.streams =
                 new StreamExchange(
                         settings.instance(), loop, this::sendStreams, this::isTargetListCurrent);
-        this.sections = List.of(uses, quotas, rateLimits, streams, crashes);
+        this.evacuations = EvacuationReports.of(settings, this::onLocalChange);
+        this.sections =
+                Stream.concat(
+                                Stream.of(uses, quotas, rateLimits, streams, crashes),
+                                evacuations.stream())
+                        .toList();
         this.reportBuilder = new ReportBuilder(settings, role, storeReadState, peers, sections);
         this.relay = new ReportRelay(settings, role, peers, loop, this::sendRelayed);
         this.channel =
@@ -283,6 +290,15 @@
         return streams;
     }
 
+    /**
+     * What is known of evacuated zones.
+     *
+     * @return the evacuations, empty where the settings don't enable them
+     */
+    public Optional<EvacuationReports> evacuations() {
+        return evacuations;
+    }
+
     private boolean isTargetListCurrent(long now) {
         // Until the pause is noticed the list looks as new as before it.
         detectProcessPause(now);
