sardinectl evacuations list, start and end

They reach the store of gateways and workers (--store) through its dialect, so sardinectl depends on the platform module.

--- a/sardinectl/src/main/java/org/sardinelift/ctl/CommandRunner.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/CommandRunner.java
@@ -28,6 +28,9 @@
 import org.sardinelift.ctl.command.CommandContext;
 import org.sardinelift.ctl.command.DiffCommand;
 import org.sardinelift.ctl.command.DrainCommand;
+import org.sardinelift.ctl.command.EvacuationsEndCommand;
+import org.sardinelift.ctl.command.EvacuationsListCommand;
+import org.sardinelift.ctl.command.EvacuationsStartCommand;
 import org.sardinelift.ctl.command.ExplainCommand;
 import org.sardinelift.ctl.command.GetCommand;
 import org.sardinelift.ctl.command.KeysIssueCommand;
@@ -62,6 +65,9 @@
                     new RolloutStartCommand(),
                     new RolloutStatusCommand(),
                     new RolloutStopCommand(),
+                    new EvacuationsListCommand(),
+                    new EvacuationsStartCommand(),
+                    new EvacuationsEndCommand(),
                     new ExplainCommand(),
                     new StatusCommand());
 
@@ -179,7 +185,7 @@
     private static String usage() {
         String commands =
                 COMMANDS.stream()
-                        .map(each -> "  %-15s %s".formatted(each.name(), each.summary()))
+                        .map(each -> "  %-17s %s".formatted(each.name(), each.summary()))
                         .collect(Collectors.joining("\n"));
         String codes =
                 Stream.of(ExitCode.values())
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/CommandContext.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/CommandContext.java
@@ -31,6 +31,7 @@
         InputStream in,
         PrintStream out) {
     static final String PLATFORM_VARIABLE = "SARDINELIFT_PLATFORM";
+    static final String STORE_VARIABLE = "SARDINELIFT_STORE";
     static final String ENTRY_VARIABLE = "SARDINELIFT_ENTRY";
     static final String OPERATORS_VARIABLE = "SARDINELIFT_OPERATORS";
     static final String KEY_VARIABLE = "SARDINELIFT_KEY";
--- a/sardinectl/src/main/java/org/sardinelift/ctl/command/CommonOptions.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/command/CommonOptions.java
@@ -15,6 +15,16 @@
                                 "address of the platform, or " + CommandContext.PLATFORM_VARIABLE));
     }
 
+    static Options store() {
+        return new Options()
+                .addOption(
+                        Command.longOption(
+                                "store",
+                                "HOST:PORT",
+                                "store of the gateways and workers, or "
+                                        + CommandContext.STORE_VARIABLE));
+    }
+
     static Options caller() {
         return new Options()
                 .addOption(
--- a/sardinectl/src/main/java/org/sardinelift/ctl/http/ApiClient.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/http/ApiClient.java
@@ -19,6 +19,7 @@
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.http.HttpResponseListener;
 import org.sardinelift.objects.HttpObjectStore;
+import org.sardinelift.objects.ObjectDialect;
 import org.sardinelift.objects.ObjectStore;
 
 /** HTTP client of one run of the program. Calls block until they are answered. */
@@ -58,6 +59,17 @@
         return HttpObjectStore.create(client, address.host(), address.port(), timeout);
     }
 
+    /**
+     * Returns a client of the store of gateways and workers.
+     *
+     * @param address address of the store
+     * @param dialect formats requests and parses responses
+     * @return the client
+     */
+    public ObjectStore objectStore(Address address, ObjectDialect dialect) {
+        return HttpObjectStore.create(client, address.host(), address.port(), timeout, dialect);
+    }
+
     /**
      * Makes a call and waits for the complete answer.
      *
