--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -14,6 +14,7 @@
 import org.sardinelift.core.poison.RefusedTrait;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.CrashCauseFeed;
+import org.sardinelift.gateway.feed.EvacuationFeed;
 import org.sardinelift.gateway.feed.InstanceFeed;
 import org.sardinelift.gateway.feed.PeerSnapshots;
 import org.sardinelift.gateway.feed.PlanFeed;
@@ -132,6 +133,7 @@
                         control,
                         storeAvailability,
                         trait -> loop.execute(() -> network.crashes().onStoredTrait(trait)));
+        adapter.evacuationKind().ifPresent(this::listEvacuations);
         this.versionRecord =
                 VersionRecordFeed.of(
                         store,
@@ -159,6 +161,19 @@
         };
     }
 
+    private void listEvacuations(String kind) {
+        network.evacuations()
+                .ifPresent(each -> each.setLister(EvacuationFeed.of(kind, store, control, loop)));
+    }
+
+    /** Starts to list the targets, once the evacuated zones among theirs are known. */
+    private void startTargets() {
+        network.evacuations()
+                .ifPresentOrElse(
+                        each -> loop.execute(() -> each.runAfterFirstList(targets::start)),
+                        targets::start);
+    }
+
     /** Has this instance write which versions were registered, if it reads the targets itself. */
     private void recordVersions() {
         if (network.isTargetsReader()) {
@@ -249,7 +264,7 @@
                                                 .onListed(entries.values(), readAt)));
         plans.start();
         // Without the record, versions that have just gone are unknown.
-        versionRecord.start(targets::start);
+        versionRecord.start(this::startTargets);
         instances.start();
         storeRefusedTraits();
         crashCauses.start();
@@ -281,6 +296,7 @@
     /** Serves snapshots, status, metrics and the role's own calls on the internal port. */
     HttpServer startInternalServer(TargetTable table, HttpHandler roleHandler)
             throws BindException {
+        network.evacuations().ifPresent(each -> table.addExclusion(each::isExcluded));
         return HttpServer.start(
                 group,
                 settings.internalAddress().host(),
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -33,6 +33,8 @@
         NO_TARGET(503, "no_target", "not_run"),
         /** This gateway is too far behind its own work. */
         BEHIND(503, "behind", "not_run"),
+        /** All targets that may run the call are in zones that are evacuated. */
+        ZONES_EVACUATED(503, "zones_evacuated", "not_run"),
         /** This gateway has no configuration yet. */
         NOT_READY(503, "not_ready", "not_run"),
         /** Every target that received the call failed, or may have run it. */
