--- a/core/src/main/java/org/sardinelift/core/evacuation/EvacuationBounds.java
+++ b/core/src/main/java/org/sardinelift/core/evacuation/EvacuationBounds.java
@@ -8,12 +8,14 @@
  * @param listInterval time between two lists by the reader of a zone
  * @param retryInterval time between a list that failed and the next one
  * @param maxReaderAge age of a peer's list from which this instance lists instead
+ * @param listRepeatPeriod time for which the reports of a reader repeat a list without a change
  * @param changeRepeatPeriod time for which reports repeat a change
  */
 public record EvacuationBounds(
         Duration listInterval,
         Duration retryInterval,
         Duration maxReaderAge,
+        Duration listRepeatPeriod,
         Duration changeRepeatPeriod) {
     /** A second, minus the time of a list call and of a report. */
     private static final Duration LONGEST_LIST_INTERVAL = Duration.ofMillis(900);
@@ -41,6 +43,7 @@
                 interval,
                 interval.dividedBy(3),
                 interval.multipliedBy(5).dividedBy(3),
+                interval.dividedBy(3),
                 CHANGE_REPEAT_PERIOD);
     }
 }
--- a/core/src/main/java/org/sardinelift/core/evacuation/ZoneEvacuations.java
+++ b/core/src/main/java/org/sardinelift/core/evacuation/ZoneEvacuations.java
@@ -214,9 +214,10 @@
     }
 
     /**
-     * The list to include in a report. The reader of the zone includes it always, as the others go
-     * by its age; each instance while a zone is evacuated, for instances that have just started,
-     * for a while after a change, and in full reports.
+     * The list to include in a report. The reader of the zone includes one that is new, as the
+     * others go by its age; each instance while a zone is evacuated, since an instance that has
+     * just started without the store would else send to that zone until it hears a reader or a full
+     * report, for a while after a change, and in full reports.
      *
      * @param isFull whether the report names everything
      * @param peers the other instances
@@ -228,6 +229,14 @@
                 changedAt.isPresent()
                         && now - changedAt.getAsLong() < bounds.changeRepeatPeriod().toNanos();
         return current.filter(
-                list -> isFull || isChanged || !list.zones().isEmpty() || isReader(peers, now));
+                list ->
+                        isFull
+                                || isChanged
+                                || !list.zones().isEmpty()
+                                || isNew(list, now) && isReader(peers, now));
+    }
+
+    private boolean isNew(EvacuationList list, long now) {
+        return now - list.listedAt() < bounds.listRepeatPeriod().toNanos();
     }
 }
