Tests of the loss of all gateways during a change of version, known red

The model kills all gateways at once, with lost and late writes of the record, clocks that differ by 2 s, a store that is away, and callers that retry until a gateway accepts them.

--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -39,7 +39,11 @@
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::number));
     private final List<Instance> instances = new ArrayList<>();
     private final Map<String, SoftwareVersion> targets = new HashMap<>();
-    private final Map<SoftwareVersion, Long> record = new HashMap<>();
+    private final ModelStoreObject<Map<SoftwareVersion, Long>> mainRecord =
+            new ModelStoreObject<>(Map.of());
+    private double writeFaults;
+    private double lateShare;
+    private Duration maxClockOffset = Duration.ZERO;
     private long revision;
     private boolean isStoreDown;
     private long now;
@@ -54,6 +58,41 @@
 
     private record Event(long at, long number, Runnable action) {}
 
+    /** An object of the store. Its conditional writes may be lost or executed late. */
+    private final class ModelStoreObject<T> {
+        private T value;
+        private long version;
+        private int writes;
+
+        ModelStoreObject(T initial) {
+            value = initial;
+        }
+
+        /** Writes, and tells whether that is known to have been done. */
+        void write(long expected, T written, Consumer<Boolean> listener) {
+            if (random.nextDouble() >= writeFaults) {
+                later(
+                        millis(2 + random.nextInt(20)),
+                        () -> listener.accept(put(expected, written)));
+                return;
+            }
+            later(millis(1_000), () -> listener.accept(false));
+            if (random.nextDouble() < lateShare) {
+                later(millis(1_000 + random.nextInt(5_000)), () -> put(expected, written));
+            }
+        }
+
+        private boolean put(long expected, T written) {
+            if (version != expected) {
+                return false;
+            }
+            version++;
+            writes++;
+            value = written;
+            return true;
+        }
+    }
+
     /** One instance; a restart clears what it knows. */
     private final class Instance {
         private final String name;
@@ -64,14 +103,20 @@
         private Map<String, SoftwareVersion> list = Map.of();
         private long listedAt;
         private long listRevision;
+        private final boolean isWorker;
+        private Map<SoftwareVersion, Long> mainContent = Map.of();
+        private long mainVersion;
+        private boolean isMainBusy;
+        private long clockOffset;
         private boolean isUp;
         private boolean isCutOff;
         private boolean hadSoleVersion;
         private long downSince;
         private int life;
 
-        Instance(int number) {
-            this.name = "g-" + number;
+        Instance(int number, boolean isWorker) {
+            this.isWorker = isWorker;
+            this.name = (isWorker ? "w-" : "g-") + number;
             this.zone = "z-" + number % zones;
             this.candidate = OriginKeepers.Candidate.of(name, zone);
             start();
@@ -84,6 +129,9 @@
             listRevision = 0;
             hadSoleVersion = false;
             isUp = true;
+            isMainBusy = true;
+            long maxOffset = maxClockOffset.toNanos();
+            clockOffset = maxOffset == 0 ? 0 : random.nextLong(-maxOffset, maxOffset + 1);
             int startedLife = ++life;
             readRecord(startedLife);
             later(millis(random.nextInt(50)), () -> list(startedLife));
@@ -94,6 +142,10 @@
             return !isStoreDown && !isCutOff;
         }
 
+        private long wallClock() {
+            return now + clockOffset;
+        }
+
         private void readRecord(int ofLife) {
             if (life != ofLife) {
                 return;
@@ -102,16 +154,37 @@
                 later(millis(500), () -> readRecord(ofLife));
                 return;
             }
-            versions.history()
-                    .onRecord(
-                            record.entrySet().stream()
-                                    .collect(
-                                            Collectors.toMap(
-                                                    Map.Entry::getKey,
-                                                    last ->
-                                                            Duration.ofNanos(
-                                                                    now - last.getValue()))),
-                            now);
+            mainContent = mainRecord.value;
+            mainVersion = mainRecord.version;
+            isMainBusy = false;
+            applyMain();
+        }
+
+        private void applyMain() {
+            Map<SoftwareVersion, Duration> ages = new HashMap<>();
+            mainContent.forEach(
+                    (version, lastAt) ->
+                            ages.put(version, Duration.ofNanos(Math.max(0, wallClock() - lastAt))));
+            versions.history().onRecord(ages, now);
+        }
+
+        private void writeMain(Map<SoftwareVersion, Duration> ages, int ofLife) {
+            if (isMainBusy || !reachesStore()) {
+                return;
+            }
+            isMainBusy = true;
+            Map<SoftwareVersion, Long> merged = new HashMap<>(mainContent);
+            ages.forEach(
+                    (version, age) ->
+                            merged.merge(version, wallClock() - age.toNanos(), Math::max));
+            mainRecord.write(
+                    mainVersion,
+                    merged,
+                    isDone -> {
+                        if (life == ofLife) {
+                            readRecord(ofLife);
+                        }
+                    });
         }
 
         private void list(int ofLife) {
@@ -120,18 +193,7 @@
             }
             if (reachesStore()) {
                 apply(Map.copyOf(targets), now, revision);
-                versions.history()
-                        .dueRecord(now)
-                        .ifPresent(
-                                ages -> {
-                                    ages.forEach(
-                                            (version, age) ->
-                                                    record.merge(
-                                                            version,
-                                                            now - age.toNanos(),
-                                                            Math::max));
-                                    versions.history().onRecord(ages, now);
-                                });
+                versions.history().dueRecord(now).ifPresent(ages -> writeMain(ages, ofLife));
             }
             later(LIST_INTERVAL.toNanos() + millis(random.nextInt(50)), () -> list(ofLife));
         }
@@ -262,6 +324,11 @@
         }
 
         void resume(Stream stream) {
+            if (!stream.isNamed) {
+                versions.soleVersion(SERVICE, isListCurrent(), now)
+                        .ifPresent(version -> goOn(stream, version));
+                return;
+            }
             versions.find(stream.id, SERVICE, isListCurrent(), now)
                     .ifPresentOrElse(found -> goOn(stream, found.version()), () -> inquire(stream));
         }
@@ -323,13 +390,17 @@
         }
 
         void kill() {
+            kill(millis(300 + random.nextInt(1_200)));
+        }
+
+        void kill(long downTime) {
             isUp = false;
             downSince = now;
             life++;
             Set<Stream> broken = Set.copyOf(streams);
             streams.clear();
             broken.forEach(ResumeFleet.this::comeBack);
-            later(millis(300 + random.nextInt(1_200)), this::start);
+            later(downTime, this::start);
         }
 
         void cutOff(Duration time) {
@@ -343,17 +414,26 @@
         private SoftwareVersion version = new SoftwareVersion(SERVICE, "");
         private boolean hasEvents;
 
-        Stream(long id) {
+        /** Whether the caller names the attempt that began it, and not the last event alone. */
+        private final boolean isNamed;
+
+        Stream(long id, boolean isNamed) {
             this.id = id;
+            this.isNamed = isNamed;
         }
     }
 
     ResumeFleet(long seed, int instanceCount, double messageLoss) {
+        this(seed, instanceCount, 0, messageLoss);
+    }
+
+    ResumeFleet(long seed, int gatewayCount, int workerCount, double messageLoss) {
         this.random = new Random(seed);
         this.messageLoss = messageLoss;
         this.zones = 3;
         setTargets("v1", 3);
-        IntStream.range(0, instanceCount).forEach(i -> instances.add(new Instance(i)));
+        IntStream.range(0, gatewayCount).forEach(i -> instances.add(new Instance(i, false)));
+        IntStream.range(0, workerCount).forEach(i -> instances.add(new Instance(i, true)));
     }
 
     private static long millis(long count) {
@@ -382,9 +462,10 @@
 
     /** Starts streams at a rate until the end of the run. */
     void startTraffic(int perSecond) {
-        Instance instance = instances.get(random.nextInt(instances.size()));
+        List<Instance> gateways = gateways();
+        Instance instance = gateways.get(random.nextInt(gateways.size()));
         if (instance.isUp) {
-            instance.begin(new Stream(++streamCount * 0x9E3779B97F4A7C15L));
+            instance.begin(new Stream(++streamCount * 0x9E3779B97F4A7C15L, random.nextInt(8) > 0));
         }
         later(
                 (long) (-Math.log(1 - random.nextDouble()) * 1e9 / perSecond),
@@ -397,15 +478,53 @@
         }
         long delay = millis(random.nextInt(10) == 0 ? 2_000 : 5 + random.nextInt(40));
         later(delay, () -> resumeSomewhere(stream));
+        if (random.nextInt(8) == 0) {
+            later(delay, () -> resumeSomewhere(stream));
+        }
     }
 
+    /** Resumes at any gateway, as soon as one accepts connections. */
     private void resumeSomewhere(Stream stream) {
-        List<Instance> up = instances.stream().filter(instance -> instance.isUp).toList();
-        if (!up.isEmpty()) {
+        List<Instance> up = gateways().stream().filter(instance -> instance.isUp).toList();
+        if (up.isEmpty()) {
+            later(millis(200 + random.nextInt(200)), () -> resumeSomewhere(stream));
+        } else {
             up.get(random.nextInt(up.size())).resume(stream);
         }
     }
 
+    private List<Instance> gateways() {
+        return instances.stream().filter(instance -> !instance.isWorker).toList();
+    }
+
+    /** Has a share of the writes get no response; some are executed 1 to 6 s late. */
+    void setWriteFaults(double share, double shareExecuted) {
+        writeFaults = share;
+        lateShare = shareExecuted;
+    }
+
+    /** Sets how far wall clocks differ, from the next start of each instance on. */
+    void setMaxClockOffset(Duration offset) {
+        maxClockOffset = offset;
+    }
+
+    /** Has all wall clocks jump. */
+    void jumpClocks() {
+        long maxOffset = maxClockOffset.toNanos();
+        instances.forEach(
+                instance -> instance.clockOffset = random.nextLong(-maxOffset, maxOffset + 1));
+    }
+
+    /** Kills all gateways at once, which are down for 0.1 to 5 s. */
+    void killAllGateways(boolean withWorkers) {
+        lastFaultAt = now;
+        long downTime = millis(100 + random.nextInt(4_900));
+        instances.stream()
+                .filter(instance -> instance.isUp && (withWorkers || !instance.isWorker))
+                .toList()
+                .forEach(instance -> instance.kill(downTime + millis(random.nextInt(200))));
+    }
+
     void kill(double share) {
         lastFaultAt = now;
         instances.stream()
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
@@ -5,6 +5,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -116,4 +118,51 @@
         assertEquals(0, fleet.messages());
         assertEquals(1.0, fleet.shareThatGoesOn());
     }
+
+    /**
+     * Guards against the fault of the operator's report: the record of versions is not written yet
+     * when all gateways are killed, and its absence is taken for proof.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 40, 200})
+    void afterTheLossOfAllGatewaysNoTwoVersionsAreJoined(int gateways) {
+        for (int seed = 1; seed <= 6; seed++) {
+            for (int withWorkers = 0; withWorkers < 2; withWorkers++) {
+                assertEquals(
+                        0,
+                        lossOfAllGateways(seed, gateways, withWorkers == 1).mixed(),
+                        "seed " + seed + ", workers killed " + withWorkers);
+            }
+        }
+    }
+
+    /** The second version appears, the first one leaves, and all gateways are killed at once. */
+    private static ResumeFleet lossOfAllGateways(long seed, int gateways, boolean withWorkers) {
+        ResumeFleet fleet = new ResumeFleet(seed, gateways, (gateways + 3) / 4, 0.02);
+        Random draws = new Random(seed);
+        fleet.setMaxClockOffset(seconds(2));
+        fleet.setWriteFaults(seed % 2 == 0 ? 1 : 0.5, seed % 3 / 2.0);
+        fleet.at(seconds(1), () -> fleet.startTraffic(5 * STREAMS_PER_SECOND));
+        String[] names = {"v1", "v2", "v3", "v1"};
+        for (int i = 1; i < names.length; i++) {
+            String from = names[i - 1];
+            String to = names[i];
+            double start = 8 * i;
+            double leaves = start + 1.6 + 3 * draws.nextDouble();
+            double storeDownAt = start - 1 + 3 * draws.nextDouble();
+            fleet.at(seconds(start), () -> fleet.setTargets(to, 3));
+            fleet.at(seconds(start + 1), fleet::jumpClocks);
+            if (draws.nextBoolean()) {
+                fleet.at(seconds(storeDownAt), () -> fleet.setStoreDown(true));
+                fleet.at(seconds(storeDownAt + 3), () -> fleet.setStoreDown(false));
+            }
+            fleet.at(seconds(leaves), () -> fleet.setTargets(from, 0));
+            fleet.at(
+                    seconds(leaves + 0.6 * draws.nextDouble()),
+                    () -> fleet.killAllGateways(withWorkers));
+        }
+        fleet.runUntil(seconds(40));
+        return fleet;
+    }
 }
