--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -12,9 +12,11 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.resume.OriginInquiry.Outcome;
 import org.sardinelift.core.resume.StreamOrigins.Origin;
@@ -29,6 +31,10 @@
     static final String SERVICE = "llm";
     private static final Duration LIST_INTERVAL = Duration.ofMillis(700);
     private static final Duration PEER_SILENCE_TIMEOUT = Duration.ofMillis(600);
+    private static final int MAX_TRIES = 5;
+    private static final Duration HEARTBEAT = Duration.ofMillis(250);
+    private static final Duration KEEPER_RETURN_TIME = Duration.ofSeconds(1);
+    private static final Duration START_TIME = Duration.ofSeconds(2);
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
 
@@ -39,7 +45,19 @@
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::number));
     private final List<Instance> instances = new ArrayList<>();
     private final Map<String, SoftwareVersion> targets = new HashMap<>();
-    private final Map<SoftwareVersion, Long> record = new HashMap<>();
+    private final ModelStoreObject<Map<SoftwareVersion, Long>> mainRecord =
+            new ModelStoreObject<>(Map.of());
+    private final ModelStoreObject<VersionRecord> stateRecord =
+            new ModelStoreObject<>(VersionRecord.EMPTY);
+    private int stateReads;
+    private int stateWriteTries;
+    private int newStreams;
+    private int newStreamsBegun;
+    private int broken;
+    private int brokenGoOn;
+    private double writeFaults;
+    private double lateShare;
+    private Duration maxClockOffset = Duration.ZERO;
     private long revision;
     private boolean isStoreDown;
     private long now;
@@ -54,6 +72,41 @@
 
     private record Event(long at, long number, Runnable action) {}
 
+    /** An object of the store. Its conditional writes may be lost or executed late. */
+    private final class ModelStoreObject<T> {
+        private T value;
+        private long version;
+        private int writes;
+
+        ModelStoreObject(T initial) {
+            value = initial;
+        }
+
+        /** Writes, and tells whether that is known to have been done. */
+        void write(long expected, T written, Consumer<Boolean> listener) {
+            if (random.nextDouble() >= writeFaults) {
+                later(
+                        millis(2 + random.nextInt(20)),
+                        () -> listener.accept(put(expected, written)));
+                return;
+            }
+            later(millis(1_000), () -> listener.accept(false));
+            if (random.nextDouble() < lateShare) {
+                later(millis(1_000 + random.nextInt(5_000)), () -> put(expected, written));
+            }
+        }
+
+        private boolean put(long expected, T written) {
+            if (version != expected) {
+                return false;
+            }
+            version++;
+            writes++;
+            value = written;
+            return true;
+        }
+    }
+
     /** One instance; a restart clears what it knows. */
     private final class Instance {
         private final String name;
@@ -64,26 +117,39 @@
         private Map<String, SoftwareVersion> list = Map.of();
         private long listedAt;
         private long listRevision;
+        private final boolean isWorker;
+        private Map<SoftwareVersion, Long> mainContent = Map.of();
+        private long mainVersion;
+        private boolean isMainBusy;
+        private long startedAt;
+        private long clockOffset;
         private boolean isUp;
         private boolean isCutOff;
         private boolean hadSoleVersion;
         private long downSince;
         private int life;
 
-        Instance(int number) {
-            this.name = "g-" + number;
+        Instance(int number, boolean isWorker) {
+            this.isWorker = isWorker;
+            this.name = (isWorker ? "w-" : "g-") + number;
             this.zone = "z-" + number % zones;
-            this.candidate = OriginKeepers.Candidate.of(name, zone);
+            this.candidate =
+                    OriginKeepers.Candidate.of(
+                            name, zone, isWorker ? PeerRole.WORKER : PeerRole.GATEWAY);
             start();
         }
 
         private void start() {
-            versions = StreamVersions.create(name);
+            versions = StreamVersions.create(name, new Random(random.nextLong()));
+            startedAt = now;
             list = Map.of();
             listedAt = Long.MIN_VALUE;
             listRevision = 0;
             hadSoleVersion = false;
             isUp = true;
+            isMainBusy = true;
+            long maxOffset = maxClockOffset.toNanos();
+            clockOffset = maxOffset == 0 ? 0 : random.nextLong(-maxOffset, maxOffset + 1);
             int startedLife = ++life;
             readRecord(startedLife);
             later(millis(random.nextInt(50)), () -> list(startedLife));
@@ -94,6 +160,10 @@
             return !isStoreDown && !isCutOff;
         }
 
+        private long wallClock() {
+            return now + clockOffset;
+        }
+
         private void readRecord(int ofLife) {
             if (life != ofLife) {
                 return;
@@ -102,16 +172,37 @@
                 later(millis(500), () -> readRecord(ofLife));
                 return;
             }
-            versions.history()
-                    .onRecord(
-                            record.entrySet().stream()
-                                    .collect(
-                                            Collectors.toMap(
-                                                    Map.Entry::getKey,
-                                                    last ->
-                                                            Duration.ofNanos(
-                                                                    now - last.getValue()))),
-                            now);
+            mainContent = mainRecord.value;
+            mainVersion = mainRecord.version;
+            isMainBusy = false;
+            applyMain();
+        }
+
+        private void applyMain() {
+            Map<SoftwareVersion, Duration> ages = new HashMap<>();
+            mainContent.forEach(
+                    (version, lastAt) ->
+                            ages.put(version, Duration.ofNanos(Math.max(0, wallClock() - lastAt))));
+            versions.history().onRecord(ages, now);
+        }
+
+        private void writeMain(Map<SoftwareVersion, Duration> ages, int ofLife) {
+            if (isMainBusy || !reachesStore()) {
+                return;
+            }
+            isMainBusy = true;
+            Map<SoftwareVersion, Long> merged = new HashMap<>(mainContent);
+            ages.forEach(
+                    (version, age) ->
+                            merged.merge(version, wallClock() - age.toNanos(), Math::max));
+            mainRecord.write(
+                    mainVersion,
+                    merged,
+                    isDone -> {
+                        if (life == ofLife) {
+                            readRecord(ofLife);
+                        }
+                    });
         }
 
         private void list(int ofLife) {
@@ -120,18 +211,7 @@
             }
             if (reachesStore()) {
                 apply(Map.copyOf(targets), now, revision);
-                versions.history()
-                        .dueRecord(now)
-                        .ifPresent(
-                                ages -> {
-                                    ages.forEach(
-                                            (version, age) ->
-                                                    record.merge(
-                                                            version,
-                                                            now - age.toNanos(),
-                                                            Math::max));
-                                    versions.history().onRecord(ages, now);
-                                });
+                versions.history().dueRecord(now).ifPresent(ages -> writeMain(ages, ofLife));
             }
             later(LIST_INTERVAL.toNanos() + millis(random.nextInt(50)), () -> list(ofLife));
         }
@@ -140,8 +220,59 @@
             list = listed;
             listedAt = at;
             listRevision = ofRevision;
-            versions.history().onTargets(listed.values(), now);
+            versions.onTargets(listed.values(), now);
             announceIfVersionsDiffer();
+            checkState(life);
+        }
+
+        private void checkState(int ofLife) {
+            if (life != ofLife) {
+                return;
+            }
+            versions.recorded().onListAge(isListCurrent(), now);
+            boolean isReader = instances.indexOf(this) < zones;
+            versions.dueAction(isReader, now).ifPresent(action -> performState(action, ofLife));
+        }
+
+        private void performState(RecordedVersions.Action action, int ofLife) {
+            long askedAt = now;
+            if (!reachesStore()) {
+                later(millis(100), () -> endStateAction(false, false, ofLife));
+            } else if (action instanceof RecordedVersions.Action.Write write) {
+                stateWriteTries++;
+                stateRecord.write(
+                        write.expectedVersion(),
+                        write.record(),
+                        isDone -> {
+                            if (isDone && life == ofLife) {
+                                applyState(write.record(), write.expectedVersion() + 1, askedAt);
+                            }
+                            endStateAction(isDone || now - askedAt < millis(500), isDone, ofLife);
+                        });
+            } else {
+                stateReads++;
+                VersionRecord read = stateRecord.value;
+                long version = stateRecord.version;
+                later(
+                        millis(2 + random.nextInt(20)),
+                        () -> {
+                            if (life == ofLife) {
+                                applyState(read, version, askedAt);
+                            }
+                            endStateAction(true, true, ofLife);
+                        });
+            }
+        }
+
+        private void applyState(VersionRecord record, long version, long askedAt) {
+            versions.recorded().onRecord(new RecordedVersions.Known(record, version, askedAt), now);
+        }
+
+        private void endStateAction(boolean isAnswered, boolean isDone, int ofLife) {
+            if (life == ofLife) {
+                versions.recorded().onActionEnded(isAnswered, isDone, now);
+                checkState(ofLife);
+            }
         }
 
         private void tick(int ofLife) {
@@ -152,13 +283,23 @@
             livePeers().stream()
                     .filter(peer -> peer.listRevision > listRevision)
                     .findAny()
-                    .ifPresent(peer -> apply(peer.list, peer.listedAt, peer.listRevision));
+                    .ifPresent(
+                            peer -> {
+                                peer.versions
+                                        .recorded()
+                                        .known()
+                                        .ifPresent(
+                                                known -> versions.recorded().onRecord(known, now));
+                                apply(peer.list, peer.listedAt, peer.listRevision);
+                            });
+            checkState(ofLife);
             announceIfVersionsDiffer();
             later(TICK.toNanos(), () -> tick(ofLife));
         }
 
         private List<Instance> livePeers() {
-            return isCutOff
+            boolean hasHeardNone = startedAt > 0 && now - startedAt < HEARTBEAT.toNanos();
+            return isCutOff || hasHeardNone
                     ? List.of()
                     : instances.stream()
                             .filter(peer -> peer != this && !peer.isCutOff)
@@ -191,27 +332,38 @@
             hadSoleVersion = hasSoleVersion;
         }
 
-        private List<Instance> keepers(long stream, int count) {
+        private List<Instance> keepers(
+                BiFunction<Long, Collection<OriginKeepers.Candidate>, List<OriginKeepers.Candidate>>
+                        selector,
+                long stream) {
             Map<String, Instance> byName =
                     livePeers().stream().collect(Collectors.toMap(peer -> peer.name, p -> p));
             Collection<OriginKeepers.Candidate> candidates =
                     byName.values().stream().map(peer -> peer.candidate).toList();
-            return OriginKeepers.select(stream, candidates, count).stream()
+            return selector.apply(stream, candidates).stream()
                     .map(each -> byName.get(each.name()))
                     .toList();
         }
 
         private void announce(Origin origin) {
-            keepers(origin.stream(), OriginKeepers.KEEPERS)
+            int ofLife = life;
+            keepers(OriginKeepers::keepers, origin.stream())
                     .forEach(
                             keeper -> {
-                                announcements++;
-                                deliver(
-                                        keeper,
-                                        () -> keeper.versions.onAnnounced(origin, name, now));
+                                announce(origin, keeper, ofLife);
+                                if (keeper.isWorker) {
+                                    later(millis(40), () -> announce(origin, keeper, ofLife));
+                                }
                             });
         }
 
+        private void announce(Origin origin, Instance keeper, int ofLife) {
+            if (life == ofLife) {
+                announcements++;
+                deliver(keeper, () -> keeper.versions.onAnnounced(origin, name, now));
+            }
+        }
+
         /** Sends a message; lost if it is, or if either end is away when it arrives. */
         private void deliver(Instance to, Runnable action) {
             int ofLife = to.life;
@@ -227,10 +379,10 @@
         }
 
         Optional<SoftwareVersion> choose() {
-            List<SoftwareVersion> all = list.values().stream().toList();
-            List<SoftwareVersion> settled =
-                    all.stream().filter(each -> versions.history().isSettled(each, now)).toList();
-            List<SoftwareVersion> choice = settled.isEmpty() ? all : settled;
+            Set<SoftwareVersion> selected =
+                    versions.recorded().selectForNewStreams(Set.copyOf(list.values()), now);
+            List<SoftwareVersion> choice =
+                    list.values().stream().filter(selected::contains).toList();
             return choice.isEmpty()
                     ? Optional.empty()
                     : Optional.of(choice.get(random.nextInt(choice.size())));
@@ -238,9 +390,11 @@
 
         void begin(Stream stream) {
             Optional<SoftwareVersion> version = choose();
+            newStreams++;
             if (version.isEmpty()) {
                 return;
             }
+            newStreamsBegun++;
             Origin origin = new Origin(stream.id, version.get(), 1);
             versions.onSent(origin, now);
             if (versions.soleVersion(SERVICE, isListCurrent(), now).isEmpty()) {
@@ -262,17 +416,27 @@
         }
 
         void resume(Stream stream) {
+            if (!stream.isNamed) {
+                // Their streams can't be told apart; only joined versions are counted.
+                stream.isBroken = false;
+                versions.soleVersion(SERVICE, isListCurrent(), now)
+                        .ifPresent(version -> goOn(stream, version));
+                return;
+            }
             versions.find(stream.id, SERVICE, isListCurrent(), now)
                     .ifPresentOrElse(found -> goOn(stream, found.version()), () -> inquire(stream));
         }
 
         private void inquire(Stream stream) {
-            List<Instance> keepers = keepers(stream.id, OriginKeepers.ASKED_INSTANCES);
+            List<Instance> keepers = keepers(OriginKeepers::asked, stream.id);
             OriginInquiry inquiry =
                     OriginInquiry.of(keepers.stream().map(keeper -> keeper.name).toList());
             Consumer<Optional<Outcome>> onOutcome =
                     outcome -> outcome.ifPresent(known -> onOutcome(stream, known));
             keepers.forEach(keeper -> ask(stream, keeper, inquiry, onOutcome));
+            if (keepers.isEmpty()) {
+                onOutcome(stream, new Outcome.Unknown(0));
+            }
             later(millis(100), () -> onOutcome.accept(inquiry.onTimeout()));
         }
 
@@ -297,6 +461,12 @@
         private void onOutcome(Stream stream, Outcome outcome) {
             if (outcome instanceof Outcome.Known known) {
                 goOn(stream, known.version());
+                return;
+            }
+            int silentKeepers = ((Outcome.Unknown) outcome).silentKeepers();
+            boolean hasJustStarted = startedAt > 0 && now - startedAt < START_TIME.toNanos();
+            if ((silentKeepers > 0 || hasJustStarted) && stream.tries++ < MAX_TRIES) {
+                later(KEEPER_RETURN_TIME.toNanos(), () -> resumeSomewhere(stream));
             } else {
                 count(stream, false);
             }
@@ -315,6 +485,10 @@
 
         private void count(Stream stream, boolean goesOn) {
             long targetsLeft = targets.values().stream().filter(stream.version::equals).count();
+            if (stream.isBroken && targetsLeft > 0) {
+                broken++;
+                brokenGoOn += goesOn ? 1 : 0;
+            }
             boolean isCalm = now - lastFaultAt >= CONTACT_TIME.toNanos();
             if (isCalm && targetsLeft >= 2) {
                 resumedCalmly += goesOn ? 1 : 0;
@@ -323,13 +497,18 @@
         }
 
         void kill() {
+            kill(millis(300 + random.nextInt(1_200)));
+        }
+
+        void kill(long downTime) {
             isUp = false;
             downSince = now;
             life++;
             Set<Stream> broken = Set.copyOf(streams);
             streams.clear();
+            broken.forEach(stream -> stream.isBroken = true);
             broken.forEach(ResumeFleet.this::comeBack);
-            later(millis(300 + random.nextInt(1_200)), this::start);
+            later(downTime, this::start);
         }
 
         void cutOff(Duration time) {
@@ -342,18 +521,29 @@
         private final long id;
         private SoftwareVersion version = new SoftwareVersion(SERVICE, "");
         private boolean hasEvents;
+        private boolean isBroken;
+        private int tries;
+
+        /** Whether the caller names the attempt that began it, and not the last event alone. */
+        private final boolean isNamed;
 
-        Stream(long id) {
+        Stream(long id, boolean isNamed) {
             this.id = id;
+            this.isNamed = isNamed;
         }
     }
 
     ResumeFleet(long seed, int instanceCount, double messageLoss) {
+        this(seed, instanceCount, 0, messageLoss);
+    }
+
+    ResumeFleet(long seed, int gatewayCount, int workerCount, double messageLoss) {
         this.random = new Random(seed);
         this.messageLoss = messageLoss;
         this.zones = 3;
         setTargets("v1", 3);
-        IntStream.range(0, instanceCount).forEach(i -> instances.add(new Instance(i)));
+        IntStream.range(0, gatewayCount).forEach(i -> instances.add(new Instance(i, false)));
+        IntStream.range(0, workerCount).forEach(i -> instances.add(new Instance(i, true)));
     }
 
     private static long millis(long count) {
@@ -382,9 +572,10 @@
 
     /** Starts streams at a rate until the end of the run. */
     void startTraffic(int perSecond) {
-        Instance instance = instances.get(random.nextInt(instances.size()));
+        List<Instance> gateways = gateways();
+        Instance instance = gateways.get(random.nextInt(gateways.size()));
         if (instance.isUp) {
-            instance.begin(new Stream(++streamCount * 0x9E3779B97F4A7C15L));
+            instance.begin(new Stream(++streamCount * 0x9E3779B97F4A7C15L, random.nextInt(8) > 0));
         }
         later(
                 (long) (-Math.log(1 - random.nextDouble()) * 1e9 / perSecond),
@@ -397,15 +588,86 @@
         }
         long delay = millis(random.nextInt(10) == 0 ? 2_000 : 5 + random.nextInt(40));
         later(delay, () -> resumeSomewhere(stream));
+        if (random.nextInt(8) == 0) {
+            later(delay, () -> resumeSomewhere(stream));
+        }
     }
 
+    /** Resumes at any gateway, as soon as one accepts connections. */
     private void resumeSomewhere(Stream stream) {
-        List<Instance> up = instances.stream().filter(instance -> instance.isUp).toList();
-        if (!up.isEmpty()) {
+        List<Instance> up = gateways().stream().filter(instance -> instance.isUp).toList();
+        if (up.isEmpty()) {
+            later(millis(200 + random.nextInt(200)), () -> resumeSomewhere(stream));
+        } else {
             up.get(random.nextInt(up.size())).resume(stream);
         }
     }
 
+    private List<Instance> gateways() {
+        return instances.stream().filter(instance -> !instance.isWorker).toList();
+    }
+
+    /** Returns the share of the streams of killed gateways that go on at their version. */
+    double brokenShareThatGoesOn() {
+        return (double) brokenGoOn / Math.max(1, broken);
+    }
+
+    /** Returns the share of new streams that begin at a gateway that accepts connections. */
+    double newShareThatBegins() {
+        return (double) newStreamsBegun / Math.max(1, newStreams);
+    }
+
+    /** Forgets the new streams counted so far. */
+    void countNewStreamsFromNow() {
+        newStreams = 0;
+        newStreamsBegun = 0;
+    }
+
+    int broken() {
+        return broken;
+    }
+
+    /** Returns how many writes of the record of states the store has executed. */
+    int stateWrites() {
+        return stateRecord.writes;
+    }
+
+    int stateWriteTries() {
+        return stateWriteTries;
+    }
+
+    int stateReads() {
+        return stateReads;
+    }
+
+    /** Has a share of the writes get no response; some are executed 1 to 6 s late. */
+    void setWriteFaults(double share, double shareExecuted) {
+        writeFaults = share;
+        lateShare = shareExecuted;
+    }
+
+    /** Sets how far wall clocks differ, from the next start of each instance on. */
+    void setMaxClockOffset(Duration offset) {
+        maxClockOffset = offset;
+    }
+
+    /** Has all wall clocks jump. */
+    void jumpClocks() {
+        long maxOffset = maxClockOffset.toNanos();
+        instances.forEach(
+                instance -> instance.clockOffset = random.nextLong(-maxOffset, maxOffset + 1));
+    }
+
+    /** Kills all gateways at once, which are down for 0.1 to 5 s. */
+    void killAllGateways(boolean withWorkers) {
+        lastFaultAt = now;
+        long downTime = millis(100 + random.nextInt(4_900));
+        instances.stream()
+                .filter(instance -> instance.isUp && (withWorkers || !instance.isWorker))
+                .toList()
+                .forEach(instance -> instance.kill(downTime + millis(random.nextInt(200))));
+    }
+
     void kill(double share) {
         lastFaultAt = now;
         instances.stream()
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleetTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -116,4 +117,131 @@
         assertEquals(0, fleet.messages());
         assertEquals(1.0, fleet.shareThatGoesOn());
     }
+
+    /**
+     * Guards against the fault of the operator's report: the record of versions is not written yet
+     * when all gateways are killed, and its absence is taken for proof.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 40, 200})
+    void afterTheLossOfAllGatewaysNoTwoVersionsAreJoined(int gateways) {
+        for (int seed = 1; seed <= 6; seed++) {
+            for (int withWorkers = 0; withWorkers < 2; withWorkers++) {
+                assertEquals(
+                        0,
+                        lossOfAllGateways(seed, gateways, withWorkers == 1).mixed(),
+                        "seed " + seed + ", workers killed " + withWorkers);
+            }
+        }
+    }
+
+    /** The second version appears, the first one leaves, and all gateways are killed at once. */
+    private static ResumeFleet lossOfAllGateways(long seed, int gateways, boolean withWorkers) {
+        ResumeFleet fleet = new ResumeFleet(seed, gateways, (gateways + 3) / 4, 0.02);
+        Random draws = new Random(seed);
+        fleet.setMaxClockOffset(seconds(2));
+        fleet.setWriteFaults(seed % 2 == 0 ? 1 : 0.5, seed % 3 / 2.0);
+        fleet.at(seconds(1), () -> fleet.startTraffic(5 * STREAMS_PER_SECOND));
+        String[] names = {"v1", "v2", "v3", "v1"};
+        for (int i = 1; i < names.length; i++) {
+            String from = names[i - 1];
+            String to = names[i];
+            double start = 8 * i;
+            double leaves = start + 1.6 + 3 * draws.nextDouble();
+            double storeDownAt = start - 1 + 3 * draws.nextDouble();
+            fleet.at(seconds(start), () -> fleet.setTargets(to, 3));
+            fleet.at(seconds(start + 1), fleet::jumpClocks);
+            if (draws.nextBoolean()) {
+                fleet.at(seconds(storeDownAt), () -> fleet.setStoreDown(true));
+                fleet.at(seconds(storeDownAt + 3), () -> fleet.setStoreDown(false));
+            }
+            fleet.at(seconds(leaves), () -> fleet.setTargets(from, 0));
+            fleet.at(
+                    seconds(leaves + 0.6 * draws.nextDouble()),
+                    () -> fleet.killAllGateways(withWorkers));
+        }
+        fleet.runUntil(seconds(40));
+        return fleet;
+    }
+
+    /**
+     * Two versions serve side by side, and all gateways are killed, without or with the workers.
+     */
+    private static ResumeFleet lossWithTwoVersions(
+            long seed, int gateways, boolean withWorkers, boolean hasSecondVersion) {
+        ResumeFleet fleet = new ResumeFleet(seed, gateways, (gateways + 3) / 4, 0.02);
+        fleet.setMaxClockOffset(seconds(2));
+        fleet.at(seconds(1), () -> fleet.startTraffic(5 * STREAMS_PER_SECOND));
+        if (hasSecondVersion) {
+            fleet.at(seconds(3), () -> fleet.setTargets("v2", 3));
+        }
+        fleet.at(
+                seconds(10),
+                () -> {
+                    fleet.countNewStreamsFromNow();
+                    fleet.killAllGateways(withWorkers);
+                });
+        fleet.runUntil(seconds(30));
+        return fleet;
+    }
+
+    /** Guards against streams that are refused since only gateways kept where they begin. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 40, 200})
+    void afterTheLossOfAllGatewaysAsManyStreamsGoOnAsNewOnesBegin(int gateways) {
+        int broken = 0;
+        double brokenGoOn = 0;
+        double newBegin = 0;
+        int seeds = 8;
+        for (int seed = 1; seed <= seeds; seed++) {
+            ResumeFleet fleet = lossWithTwoVersions(seed, gateways, false, true);
+            assertEquals(0, fleet.mixed(), "seed " + seed);
+            broken += fleet.broken();
+            brokenGoOn += fleet.broken() * fleet.brokenShareThatGoesOn();
+            newBegin += fleet.newShareThatBegins() / seeds;
+        }
+        String figures =
+                "%d gateways: %d broken, %.4f go on, %.4f of the new ones begin"
+                        .formatted(gateways, broken, brokenGoOn / broken, newBegin);
+        System.out.println(figures);
+        assertTrue(broken > 100, figures);
+        assertTrue(brokenGoOn / broken >= newBegin, figures);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 40, 200})
+    void afterTheLossOfAllProcessesNoStreamIsJoinedAndThoseOfOneVersionGoOn(int gateways) {
+        for (int seed = 1; seed <= 4; seed++) {
+            ResumeFleet two = lossWithTwoVersions(seed, gateways, true, true);
+            assertEquals(0, two.mixed(), "seed " + seed);
+
+            ResumeFleet one = lossWithTwoVersions(seed, gateways, true, false);
+            assertEquals(0, one.mixed(), "seed " + seed);
+            assertTrue(one.broken() > 0);
+            assertEquals(1.0, one.brokenShareThatGoesOn(), "seed " + seed);
+            assertEquals(0, one.messages());
+        }
+    }
+
+    /** Guards against messages and store calls that a service with one version doesn't need. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 40, 200})
+    void withOneVersionTheRecordIsWrittenOnceAndReadTwiceByEachInstance(int gateways) {
+        ResumeFleet fleet = new ResumeFleet(1, gateways, (gateways + 3) / 4, 0.05);
+        fleet.at(seconds(2), () -> fleet.startTraffic(STREAMS_PER_SECOND));
+        fleet.runUntil(seconds(100));
+        int instances = gateways + (gateways + 3) / 4;
+        String figures =
+                "%d instances: %d writes of %d tried, %d reads"
+                        .formatted(
+                                instances,
+                                fleet.stateWrites(),
+                                fleet.stateWriteTries(),
+                                fleet.stateReads());
+        System.out.println(figures);
+        assertEquals(0, fleet.messages());
+        assertEquals(1, fleet.stateWrites(), figures);
+        assertTrue(fleet.stateWriteTries() <= 1 + instances / 10 + 2, figures);
+        assertTrue(fleet.stateReads() <= 3 * instances, figures);
+    }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -65,7 +65,7 @@
             TargetTable table,
             PeerNetwork network) {
         List<CandidateFilter> filters = new ArrayList<>();
-        filters.add(new SettledVersionFilter(table, network.streams().history()));
+        filters.add(new SettledVersionFilter(table, network.streams().recorded()));
         filters.add(new RateLimitedTargetFilter(table, network.rateLimits()));
         if (!settings.unrepeatableReuseTime().isZero()) {
             filters.add(new ConnectionFilter(table, targetClient));
