Keep the tokens of requests on a target below its memory

Requests of several instances could fill a target together beyond its memory, which crashes it.

TargetMemory counts the tokens of own requests and those that peers report (TargetUse.tokens). Large requests are sent only by the owner of a target, by rendezvous hash; small ones are bounded by the slots of the target, with a reserve for what isn't reported yet. A call that fits nowhere gets 503 no_memory with a Retry-After, one larger than every target 413 exceeds_memory.

--- a/core/src/main/java/org/sardinelift/core/joblog/JobItem.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/JobItem.java
@@ -1,6 +1,7 @@
 package org.sardinelift.core.joblog;
 
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * One call of a batch job.
@@ -12,4 +13,13 @@
  * @param tokens tokens of the prompt and most tokens of the output, summed
  */
 public record JobItem(
-        String id, String path, Map<String, String> headers, byte[] body, long tokens) {}
+        String id, String path, Map<String, String> headers, byte[] body, long tokens) {
+    /**
+     * Returns the tokens that the item may hold in the memory of a target.
+     *
+     * @return tokens, or empty if the job states none
+     */
+    public OptionalLong countedTokens() {
+        return tokens > 0 ? OptionalLong.of(tokens) : OptionalLong.empty();
+    }
+}
--- a/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
+++ b/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
@@ -88,6 +88,15 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns whether the memory of the targets of any service is limited.
+     *
+     * @return true if one of the plans says so
+     */
+    public boolean hasMemoryLimits() {
+        return services.values().stream().anyMatch(each -> each.memoryTokens().isPresent());
+    }
+
     /**
      * Returns the version of the configuration.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
@@ -18,6 +18,8 @@
  * @param lastEventId number of the event after which a stream resumes
  * @param resumedCallId id of the caller's attempt that brought the first event of a resumed stream
  * @param promptParts parts of a request's prompt, in the platform's own notation
+ * @param tokenCount tokens of a request's prompt and most tokens of its output, in the platform's
+ *     own notation
  * @param waitMs time that a read may wait for a result, milliseconds
  */
 public record HeaderNames(
@@ -33,4 +35,5 @@
         String lastEventId,
         String resumedCallId,
         String promptParts,
+        String tokenCount,
         String waitMs) {}
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -247,6 +247,7 @@
         loop.execute(
                 () -> {
                     network.quota().updateLimits(plan.rateLimits(), System.nanoTime());
+                    network.setMemoryLimited(plan.hasMemoryLimits());
                     network.onLocalChange();
                     listener.onPlanChanged(plan);
                 });
--- a/gateway/src/main/java/org/sardinelift/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/PlatformAdapter.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.plan.RegisteredTarget;
@@ -28,6 +29,14 @@
      */
     List<String> sharedPromptParts(@Nullable String promptParts);
 
+    /**
+     * Reads the tokens that a request may hold in the memory of a target.
+     *
+     * @param tokenCount the header that states them, null if the request has none
+     * @return tokens of prompt and output; empty if the header can't be read
+     */
+    OptionalLong tokenCount(@Nullable String tokenCount);
+
     /**
      * Headers that only the system may send to targets; those of callers are not forwarded.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -63,6 +63,7 @@
                                     .put("usable", target.health().isUsable(now))
                                     .put("rateLimit", rateLimit(targetTable, target))
                                     .put("requests", target.requests())
+                                    .put("tokens", network.targetMemory().knownTokens(target.id()))
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
                                     .put("batch", calls.batch())
--- a/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
@@ -18,6 +18,7 @@
  * @param earlierWait time that the caller spent on earlier attempts
  * @param lastEventId event after which the caller resumes a stream
  * @param resumedCallId id of the caller's attempt that began the stream, empty if it names none
+ * @param tokens tokens that it may hold in the memory of a target, empty if it states none
  * @param traits what may make it crash a target
  */
 record AdmittedCall(
@@ -30,6 +31,7 @@
         Duration earlierWait,
         OptionalLong lastEventId,
         String resumedCallId,
+        OptionalLong tokens,
         RequestTraits traits) {
     /** Whether the caller resumes a stream that an earlier attempt began. */
     boolean isResumedStream() {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -44,7 +44,8 @@
         this.adapter = adapter;
         this.jobProxy = jobProxy;
         CallGate start = (exchange, call) -> call.start();
-        this.firstGate = new ResumeGate(context, new CrashGate(context, start));
+        this.firstGate =
+                new MemoryGate(context, new ResumeGate(context, new CrashGate(context, start)));
     }
 
     @Override
@@ -125,6 +126,7 @@
                 isRetry ? earlierWait : Duration.ZERO,
                 readLastEventId(exchange),
                 resumedCallId,
+                adapter.tokenCount(exchange.header(headerNames().tokenCount())),
                 RequestTraits.of(fingerprint(team, exchange), service, promptParts));
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -42,6 +42,7 @@
             PeerNetwork network,
             PlanFeed plans) {
         table.setDeathListener(network.crashes()::onTargetDeath);
+        TargetMemoryLimits memory = new TargetMemoryLimits(plans, network);
         ForwardingContext context =
                 new ForwardingContext(
                         settings,
@@ -53,7 +54,9 @@
                         RetryAfterSchedule.create(),
                         new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders()),
                         new StallDetector(loop),
+                        memory,
                         List.of(
+                                memory,
                                 new SettledVersionFilter(table, network.streams().history()),
                                 new RateLimitedTargetFilter(table, network.rateLimits())));
         JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -31,6 +31,10 @@
         NO_ROOM(503, "no_room", "not_run"),
         /** No target is available at all. */
         NO_TARGET(503, "no_target", "not_run"),
+        /** The call needs more memory than any target of its service has. */
+        EXCEEDS_MEMORY(413, "exceeds_memory", "not_run"),
+        /** The call fits into the memory of no target at present. */
+        NO_MEMORY(503, "no_memory", "not_run"),
         /** This gateway has no configuration yet. */
         NOT_READY(503, "not_ready", "not_run"),
         /** Every target that received the call failed, or may have run it. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -60,6 +60,8 @@
     private int events;
     private long delayNanos;
     private long firstEventAt;
+    private String memoryTarget = "";
+    private long heldTokens;
     private boolean isHeadForwarded;
     private boolean isEnded;
     private @Nullable ScheduledFuture<?> timeout;
@@ -184,6 +186,8 @@
                             : "no other target of " + group + " has a free slot in time");
             return;
         }
+        List<TargetLoad> usable = context.targets().usableLoads(group, triedTargets, now);
+        boolean lacksMemory = refusal.hasNoTarget() && fitsOnNone(usable, now);
         Duration left = timeLeft(now);
         Duration untilSlot =
                 refusal.hasNoTarget() ? TARGET_REGISTRATION_TIME : refusal.retryAfter();
@@ -196,26 +200,50 @@
                                 call.fingerprint(),
                                 now);
         Kind kind = refusal.hasNoTarget() ? Kind.NO_TARGET : Kind.NO_ROOM;
+        if (lacksMemory) {
+            kind = Kind.NO_MEMORY;
+            context.memory().onRefused(call.service(), call.tokens().orElse(0), usable, now);
+            GatewayMetrics.recordMemoryRefusal("now");
+        }
         String detail = refusalDetail(refusal, now);
         finish(kind.label());
         ErrorResponses.send(exchange, kind, call.id(), detail, retryDelay);
     }
 
+    /** Whether targets are usable, and the call fits into the memory of none. */
+    private boolean fitsOnNone(List<TargetLoad> usable, long now) {
+        return !usable.isEmpty()
+                && context.memory().fitting(call.service(), call.tokens(), usable, now).isEmpty();
+    }
+
+    private void holdMemory(String target, long now) {
+        memoryTarget = target;
+        heldTokens = context.memory().counted(call.service(), call.tokens());
+        context.memory().onSent(call.service(), target, heldTokens, now);
+    }
+
+    private void freeMemory() {
+        context.memory().onEnded(memoryTarget, heldTokens);
+        heldTokens = 0;
+    }
+
     /** The figures behind a refusal, for the log and the caller. */
     private String refusalDetail(Choice.Refused refusal, long now) {
         List<TargetLoad> loads = context.targets().usableLoads(group, triedTargets, now);
         int slots = loads.stream().mapToInt(TargetLoad::slots).sum();
         int online = loads.stream().mapToInt(load -> load.calls().online()).sum();
         int batch = loads.stream().mapToInt(load -> load.calls().batch()).sum();
-        return "sends %d, waited %d ms, %d targets, %d slots, online %d, batch %d, late by %d ms"
-                .formatted(
-                        sends,
-                        call.earlierWait().toMillis(),
-                        loads.size(),
-                        slots,
-                        online,
-                        batch,
-                        refusal.retryAfter().toMillis());
+        return "sends %d, waited %d ms, %d targets, %d slots, online %d, batch %d, late by %d ms,"
+                + " tokens %d"
+                        .formatted(
+                                sends,
+                                call.earlierWait().toMillis(),
+                                loads.size(),
+                                slots,
+                                online,
+                                batch,
+                                refusal.retryAfter().toMillis(),
+                                call.tokens().orElse(-1));
     }
 
     private Duration timeLeft(long now) {
@@ -227,6 +255,7 @@
     private void place(TargetLoad load, long now) {
         Target target = context.targets().find(load.id()).orElseThrow();
         context.targets().onRequest(target);
+        holdMemory(target.id(), now);
         if (load.sendDelayNanos() == 0) {
             send(target, load, now);
             return;
@@ -247,6 +276,7 @@
         if (context.targets().isUsable(target, now)) {
             send(target, load, now);
         } else {
+            freeMemory();
             dispatch();
         }
     }
@@ -318,7 +348,13 @@
         boolean mayMove = call.route().mayRepeat() && runs + 1 < call.route().maxAttempts();
         boolean hasFreeTarget =
                 mayMove
-                        && context.targets().usableLoads(group, triedTargets, now).stream()
+                        && context
+                                .memory()
+                                .filter(
+                                        this,
+                                        context.targets().usableLoads(group, triedTargets, now),
+                                        now)
+                                .stream()
                                 .anyMatch(TargetLoad::isFreeForOnline);
         if (hasFreeTarget) {
             if (current.hasPartialEvent()) {
@@ -501,6 +537,7 @@
             return;
         }
         attempt = null;
+        freeMemory();
         GatewayMetrics.recordAttempt(attemptResult);
         context.network().targetLoads().onOwnCallsChanged(from.target().id(), ONE_CALL_LESS);
         context.network().onSlotFreed();
@@ -513,6 +550,7 @@
         }
         if (delayedSend != null) {
             delayedSend.cancel(false);
+            freeMemory();
         }
         context.stallDetector().remove(this);
         GatewayMetrics.recordCall(call.route().name(), result, context.now() - arrivedAt);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
@@ -21,6 +21,7 @@
  * @param retryTimes schedules the retries of refused callers
  * @param headers selects the headers to forward
  * @param stallDetector finds targets that have stopped sending
+ * @param memory limits of the tokens on targets
  * @param candidateFilters narrow the targets of a call, in order
  */
 record ForwardingContext(
@@ -33,6 +34,7 @@
         RetryAfterSchedule retryTimes,
         ForwardedHeaders headers,
         StallDetector stallDetector,
+        TargetMemoryLimits memory,
         List<CandidateFilter> candidateFilters) {
     private static final double NANOS_PER_SECOND = 1e9;
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
@@ -41,8 +41,19 @@
                     .labelNames("result")
                     .register();
 
+    private static final Counter MEMORY_REFUSALS =
+            Counter.builder()
+                    .name("sardinelift_gateway_memory_refusals_total")
+                    .help("Calls refused since they fit into the memory of no target")
+                    .labelNames("kind")
+                    .register();
+
     private GatewayMetrics() {}
 
+    static void recordMemoryRefusal(String kind) {
+        MEMORY_REFUSALS.labelValues(kind).inc();
+    }
+
     static void recordResume(String result) {
         RESUMED_STREAMS.labelValues(result).inc();
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -12,6 +12,7 @@
 import org.sardinelift.core.stream.EventStreamParser;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.ResponseHead;
+import org.sardinelift.gateway.call.TargetMemoryLimits;
 import org.sardinelift.gateway.call.TargetTable.Target;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
@@ -30,6 +31,7 @@
     private long startedAt;
     private long lastEventAt;
     private int eventCount;
+    private long heldTokens;
     private ResponseHead head = ResponseHead.NONE;
     private @Nullable EventStreamParser parser;
     private boolean isResumed;
@@ -82,6 +84,18 @@
         canceller = client.send(call, this);
     }
 
+    /** Counts the tokens of the item on its target. */
+    void holdMemory(TargetMemoryLimits memory, long now) {
+        String service = target.registration().service();
+        heldTokens = memory.counted(service, item().item().countedTokens());
+        memory.onSent(service, target.id(), heldTokens, now);
+    }
+
+    void freeMemory(TargetMemoryLimits memory) {
+        memory.onEnded(target.id(), heldTokens);
+        heldTokens = 0;
+    }
+
     /** Closes the connection, so that the target stops running the item. */
     void cancel() {
         canceller.run();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -30,6 +30,7 @@
 import org.sardinelift.core.plan.ServingPlan;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.HeaderNames;
+import org.sardinelift.gateway.call.TargetMemoryLimits;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.call.TargetTable.Target;
 import org.sardinelift.gateway.feed.PlanFeed;
@@ -84,6 +85,7 @@
     private final HeaderNames headers;
     private final JobAssignment assignment;
     private final ItemTargets itemTargets;
+    private final TargetMemoryLimits memory;
     private final ItemSchedule schedule =
             ItemSchedule.of(INITIAL_EVENTS_PER_ITEM, INITIAL_EVENT_INTERVAL, RESULT_DELIVERY_TIME);
     private final BatchSlotSelector slotSelector;
@@ -114,6 +116,7 @@
         this.plans = plans;
         this.headers = headers;
         this.itemTargets = new ItemTargets(table);
+        this.memory = new TargetMemoryLimits(plans, network);
         this.slotSelector =
                 BatchSlotSelector.of(
                         zone, FREE_SLOT_SETTLE_TIME, OTHER_ZONE_SETTLE_TIME, NEXT_START_DELAY);
@@ -244,6 +247,31 @@
             }
         }
         giveUpExpired(now);
+        giveUpOversized();
+    }
+
+    private void giveUpOversized() {
+        PlanFeed.CurrentPlan currentPlan = plans.current();
+        if (currentPlan == null || !currentPlan.plan().hasMemoryLimits()) {
+            return;
+        }
+        List<ItemSchedule.ScheduledItem> oversized =
+                scheduledItems(currentPlan.plan())
+                        .filter(each -> !each.item().isRunning())
+                        .filter(each -> isOversized(each, currentPlan.plan()))
+                        .toList();
+        oversized.forEach(
+                each ->
+                        giveUp(
+                                each.job(),
+                                each.item(),
+                                each.item().item().tokens()
+                                        + " tokens are more than any target of its service holds"));
+    }
+
+    private boolean isOversized(ItemSchedule.ScheduledItem item, ServingPlan plan) {
+        return memory.exceedsAll(
+                itemTargets.serviceGroup(item, plan).service(), item.item().item().countedTokens());
     }
 
     private Optional<RoutePlan> route(ItemSchedule.ScheduledItem scheduled) {
@@ -385,7 +413,7 @@
     private Optional<TargetGroup> tryStart(
             ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
         TargetGroup group = itemTargets.group(scheduled, plan);
-        Optional<TargetLoad> slot = selectSlot(group, now);
+        Optional<TargetLoad> slot = selectSlot(scheduled, group, now);
         if (slot.isEmpty() && group.softwareVersion().isPresent()) {
             slot = selectSlotToStartOver(scheduled, plan, now);
         }
@@ -400,8 +428,14 @@
         return Optional.empty();
     }
 
-    private Optional<TargetLoad> selectSlot(TargetGroup group, long now) {
-        List<TargetLoad> loads = table.usableLoads(group, Set.of(), now);
+    private Optional<TargetLoad> selectSlot(
+            ItemSchedule.ScheduledItem scheduled, TargetGroup group, long now) {
+        List<TargetLoad> loads =
+                memory.fitting(
+                        group.service(),
+                        scheduled.item().item().countedTokens(),
+                        table.usableLoads(group, Set.of(), now),
+                        now);
         Optional<TargetLoad> slot = slotSelector.select(loads, now);
         if (slot.isEmpty() && slotSelector.hasFreeSlot(loads)) {
             rescheduleAfter(NEXT_START_DELAY);
@@ -415,7 +449,8 @@
         if (!schedule.isStartingOverDue(scheduled.item(), now)) {
             return Optional.empty();
         }
-        Optional<TargetLoad> slot = selectSlot(itemTargets.serviceGroup(scheduled, plan), now);
+        Optional<TargetLoad> slot =
+                selectSlot(scheduled, itemTargets.serviceGroup(scheduled, plan), now);
         if (slot.isPresent()) {
             itemTargets.startOver(scheduled, "its version has no free slot");
         }
@@ -426,6 +461,7 @@
         run.item().setRunning(true);
         running.computeIfAbsent(run.target(), key -> new ArrayList<>()).add(run);
         network.targetLoads().onOwnCallsChanged(run.target().id(), ITEM_STARTED);
+        run.holdMemory(memory, now);
         table.onRequest(run.target());
         network.onLocalChange();
         WorkerMetrics.setRunningItems(runs().size());
@@ -482,6 +518,7 @@
             running.remove(run.target());
         }
         run.item().onRunEnded(System.nanoTime());
+        run.freeMemory(memory);
         network.targetLoads().onOwnCallsChanged(run.target().id(), ITEM_ENDED);
         network.onSlotFreed();
         WorkerMetrics.setRunningItems(runs().size());
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
+import org.sardinelift.core.memory.TargetMemory;
 import org.sardinelift.core.peer.Peer;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.peer.PeerTable;
@@ -80,8 +81,7 @@
     private final NodeSettings settings;
     private final EventLoop loop;
     private final PeerTable peers;
-    private final TargetUseReports uses =
-            new TargetUseReports(PEER_SILENCE_TIMEOUT.multipliedBy(2), UNREPORTED_LOAD_LIFETIME);
+    private final TargetUseReports uses;
     private final TeamQuotaReports quotas =
             new TeamQuotaReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final RateLimitReports rateLimits =
@@ -169,6 +169,11 @@
         this.loop = loop;
         this.peers =
                 PeerTable.create(settings.instance(), PEER_SILENCE_TIMEOUT, PEER_REMOVAL_TIMEOUT);
+        this.uses =
+                new TargetUseReports(
+                        settings.instance(),
+                        PEER_SILENCE_TIMEOUT.multipliedBy(2),
+                        UNREPORTED_LOAD_LIFETIME);
         this.crashes = new CrashReports(settings.instance(), this::onLocalChange);
         this.storeReadState = storeReadState;
         this.streams =
@@ -247,6 +252,24 @@
         return uses.loads();
     }
 
+    /**
+     * The tokens that requests hold on targets.
+     *
+     * @return the account
+     */
+    public TargetMemory targetMemory() {
+        return uses.memory();
+    }
+
+    /**
+     * Sets whether the tokens on targets are limited; on the event loop.
+     *
+     * @param isLimited whether the configuration states the memory of any target
+     */
+    public void setMemoryLimited(boolean isLimited) {
+        uses.setCountsTokens(isLimited, System.nanoTime());
+    }
+
     /**
      * The rate limits of teams.
      *
