--- a/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
+++ b/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -78,6 +79,24 @@
         return new ServingPlan(version, routesByHost, rateLimits, teamByKey, requestLimits, byName);
     }
 
+    /**
+     * Returns the plan without the memory of targets, where calls are not bounded by it.
+     *
+     * @return a copy without it
+     */
+    public ServingPlan withoutMemoryLimits() {
+        return withServices(
+                services.values().stream()
+                        .map(
+                                service ->
+                                        new ServicePlan(
+                                                service.name(),
+                                                service.coldRequestsPerSecond(),
+                                                service.coldTime(),
+                                                OptionalLong.empty()))
+                        .toList());
+    }
+
     /**
      * Returns what the configuration says of the targets of a service.
      *
@@ -88,6 +107,15 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns whether the memory of the targets of any service is limited.
+     *
+     * @return true if one of the plans says so
+     */
+    public boolean hasMemoryLimits() {
+        return services.values().stream().anyMatch(each -> each.memoryTokens().isPresent());
+    }
+
     /**
      * Returns the version of the configuration.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -110,6 +110,7 @@
                         control,
                         storeAvailability,
                         network::isPlanReader,
+                        settings.boundsTargetMemory(),
                         this::onPlan);
         this.targets =
                 TargetFeed.of(
@@ -294,6 +295,7 @@
                 () -> {
                     network.quota().updateLimits(plan.rateLimits(), System.nanoTime());
                     network.rateLimits().cold().onPlan(plan);
+                    network.setMemoryLimited(plan.hasMemoryLimits());
                     network.onLocalChange();
                     listener.onPlanChanged(plan);
                 });
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -73,6 +73,7 @@
                                     .put("workTime", workTime(target, now))
                                     .put("cold", coldReason(network, target))
                                     .put("requests", target.requests())
+                                    .put("tokens", network.targetMemory().knownTokens(target.id()))
                                     .put("slots", target.registration().slots())
                                     .put("online", calls.online())
                                     .put("batch", calls.batch())
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -43,6 +43,7 @@
             PeerNetwork network,
             PlanFeed plans) {
         table.setDeathListener(network.crashes()::onTargetDeath);
+        TargetMemoryLimits memory = new TargetMemoryLimits(plans, network);
         ForwardingContext context =
                 new ForwardingContext(
                         settings,
@@ -54,7 +55,8 @@
                         RetryAfterSchedule.create(),
                         new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders()),
                         new StallDetector(loop),
-                        candidateFilters(settings, targetClient, table, network));
+                        memory,
+                        candidateFilters(settings, targetClient, table, network, memory));
         JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
         return new CallPipeline(new CallHandler(context, plans, adapter, jobs));
     }
@@ -63,8 +65,10 @@
             GatewaySettings settings,
             HttpClient targetClient,
             TargetTable table,
-            PeerNetwork network) {
+            PeerNetwork network,
+            TargetMemoryLimits memory) {
         List<CandidateFilter> filters = new ArrayList<>();
+        filters.add(memory);
         filters.add(new SettledVersionFilter(table, network.streams().recorded()));
         filters.add(new RateLimitedTargetFilter(table, network.rateLimits()));
         if (!settings.unrepeatableReuseTime().isZero()) {
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
@@ -34,6 +34,7 @@
     private final StoreAvailability storeAvailability;
     private final Consumer<ServingPlan> listener;
     private final ReadPolicy readPolicy;
+    private final boolean boundsTargetMemory;
     private volatile @Nullable CurrentPlan current;
     private volatile long confirmedAt;
 
@@ -51,7 +52,9 @@
             ControlThread control,
             StoreAvailability storeAvailability,
             ReadPolicy readPolicy,
+            boolean boundsTargetMemory,
             Consumer<ServingPlan> listener) {
+        this.boundsTargetMemory = boundsTargetMemory;
         this.readPolicy = readPolicy;
         this.adapter = adapter;
         this.store = store;
@@ -68,6 +71,7 @@
      * @param control the control thread
      * @param storeAvailability records whether the store answers
      * @param readPolicy whether this instance watches the store itself
+     * @param boundsTargetMemory whether calls and items are bounded by the memory of targets
      * @param listener receives each newer configuration, on the control thread
      * @return the feed, not started
      */
@@ -77,8 +81,16 @@
             ControlThread control,
             StoreAvailability storeAvailability,
             ReadPolicy readPolicy,
+            boolean boundsTargetMemory,
             Consumer<ServingPlan> listener) {
-        return new PlanFeed(adapter, store, control, storeAvailability, readPolicy, listener);
+        return new PlanFeed(
+                adapter,
+                store,
+                control,
+                storeAvailability,
+                readPolicy,
+                boundsTargetMemory,
+                listener);
     }
 
     /** Starts to read and watch. */
@@ -130,7 +142,8 @@
                     .error();
             return;
         }
-        ServingPlan plan = ((Decoded.Value<ServingPlan>) decoded).value();
+        ServingPlan stored = ((Decoded.Value<ServingPlan>) decoded).value();
+        ServingPlan plan = boundsTargetMemory ? stored : stored.withoutMemoryLimits();
         long previousVersion = version();
         if (plan.version() <= previousVersion) {
             return;
--- a/gateway/src/test/java/org/sardinelift/gateway/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/GatewaySettingsTest.java
@@ -37,6 +37,7 @@
         assertEquals(Optional.empty(), settings.node().evacuationTime());
         assertEquals(Duration.ZERO, settings.unrepeatableReuseTime());
         assertFalse(settings.hasFairShares());
+        assertFalse(settings.node().boundsTargetMemory());
     }
 
     @Test
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
@@ -81,6 +81,7 @@
                 1,
                 Duration.ofSeconds(8),
                 5,
+                false,
                 Optional.empty());
     }
 
@@ -241,6 +242,7 @@
                 usual.storeCallsPerSecond(),
                 usual.gracePeriod(),
                 usual.maxInstances(),
+                usual.boundsTargetMemory(),
                 usual.evacuationTime());
     }
 
