--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -186,7 +186,12 @@
         }
         Duration left = timeLeft(now);
         Duration untilSlot =
-                refusal.hasNoTarget() ? TARGET_REGISTRATION_TIME : refusal.retryAfter();
+                refusal.hasNoTarget()
+                        ? TARGET_REGISTRATION_TIME
+                        : RateLimitedTargetFilter.untilCapacity(
+                                refusal.retryAfter(),
+                                context.targets().usableLoads(group, triedTargets, now),
+                                context.targets());
         Duration retryDelay =
                 context.retryTimes()
                         .nextRetryAfter(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/RateLimitedTargetFilter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/RateLimitedTargetFilter.java
@@ -36,6 +36,23 @@
                         .toList();
     }
 
+    /**
+     * Returns when capacity for a refused call is expected. Targets that the call was not offered
+     * appear to be full for longer than any caller waits; one that returns may be offered a cold
+     * target as soon as its limit allows a request.
+     *
+     * @param refused time that was found without those targets
+     * @param loads loads of all targets that may run the call
+     * @param targets the targets
+     * @return the time from now
+     */
+    static Duration untilCapacity(Duration refused, List<TargetLoad> loads, TargetTable targets) {
+        return loads.stream()
+                .filter(load -> targets.find(load.id()).filter(targets::isCold).isPresent())
+                .map(load -> Duration.ofNanos(load.expectedFirstEventNanos()))
+                .reduce(refused, (a, b) -> a.compareTo(b) < 0 ? a : b);
+    }
+
     private boolean isOffered(ForwardedCall call, TargetLoad load) {
         TargetTable.Target target = targets.find(load.id()).orElseThrow();
         OptionalDouble limit = targets.rateLimit(target);
