Verify a cold target after a broken connection within the shared limit

Cause: slots of its own could delay the probe past the second in which a death is attributed to the request.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -544,9 +544,10 @@
             return;
         }
         target.isProbePending = true;
+        // Only the few instances whose requests it ran do this, so that they need no slots.
         long delay =
                 isCold(target)
-                        ? rateLimits.nanosUntilProbe(target.incarnation, System.nanoTime())
+                        ? rateLimits.nanosUntilRequest(target.incarnation, System.nanoTime())
                         : 0;
         if (delay == 0) {
             sendVerification(target, onAlive);
