--- a/core/src/test/java/org/sardinelift/core/quota/ColdTargetsTest.java
+++ b/core/src/test/java/org/sardinelift/core/quota/ColdTargetsTest.java
@@ -47,13 +47,17 @@
                 now);
     }
 
-    private static RegisteredTarget entry(OptionalLong coldLeftMs) {
-        return new RegisteredTarget("i-1", "s", "h", 1, "z", 8, false, 7, "v", coldLeftMs);
+    private static RegisteredTarget entry(OptionalLong remainingColdMs) {
+        return new RegisteredTarget("i-1", "s", "h", 1, "z", 8, false, 7, "v", remainingColdMs);
     }
 
-    private List<ColdTargets.Change> list(long coldLeftMs, long listedAtMs, long nowMs) {
+    private List<ColdTargets.Change> list(long remainingColdMs, long listedAtMs, long nowMs) {
         return cold.onListed(
-                List.of(entry(coldLeftMs < 0 ? OptionalLong.empty() : OptionalLong.of(coldLeftMs))),
+                List.of(
+                        entry(
+                                remainingColdMs < 0
+                                        ? OptionalLong.empty()
+                                        : OptionalLong.of(remainingColdMs))),
                 listedAtMs * MILLI,
                 nowMs * MILLI);
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/RateLimitReports.java
@@ -161,7 +161,7 @@
                             statement.perSecond().ifPresent(limited::setPerSecond);
                         });
         target.coldLeftNanos()
-                .ifPresent(left -> limited.setColdLeftMs(TimeUnit.NANOSECONDS.toMillis(left)));
+                .ifPresent(left -> limited.setRemainingColdMs(TimeUnit.NANOSECONDS.toMillis(left)));
         return limited;
     }
 
@@ -175,7 +175,7 @@
                         cold.onPeerReport(
                                 peer.name(),
                                 target.getTarget(),
-                                target.isSetColdLeftMs() ? target.getColdLeftMs() : 0,
+                                target.isSetRemainingColdMs() ? target.getRemainingColdMs() : 0,
                                 now));
         targets.stream()
                 .filter(LimitedTarget::isSetAgeMs)
--- a/protocol/src/main/thrift/sardinelift.thrift
+++ b/protocol/src/main/thrift/sardinelift.thrift
@@ -328,7 +328,7 @@
   /** Time since the first of them. */
   5: i64 sentSinceMs,
   /** How much longer the target is known to be cold; absent if it isn't. */
-  6: optional i64 coldLeftMs
+  6: optional i64 remainingColdMs
 }
 
 /** A version of the software that runs on targets of a service. */
