Gateways refuse calls of teams above their share while targets are short

A gate before placement, active with admission.fairShares only: a call above the share uses a slot that is free or is refused with over_share, its figures in the detail and the log line. A shortage ends when no target is left, and one that begins with a refused call is logged (tests failed before).

--- a/core/src/main/java/org/sardinelift/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/sardinelift/core/admission/FairAdmission.java
@@ -64,6 +64,7 @@
     private double calls;
     private int gateways = 1;
     private long updatedAt;
+    private boolean isAnnounced;
 
     private FairAdmission(Duration slotTime, ToDoubleFunction<String> weights) {
         this.slotSeconds = slotTime.toNanos() / 1e9;
@@ -101,19 +102,19 @@
      * @return whether a shortage has begun or ended
      */
     public boolean onSample(double calls, double slots, int liveGateways, long now) {
-        boolean wasShort = detector.isShort();
         detector.onSample(calls, slots, now);
         capacity = slots;
         this.calls = calls;
         gateways = Math.max(1, liveGateways);
-        if (wasShort && !detector.isShort()) {
+        boolean hasChanged = isAnnounced != detector.isShort();
+        isAnnounced = detector.isShort();
+        if (hasChanged && !isAnnounced) {
             fleet.clear();
         }
-        boolean isDue = now - updatedAt >= UPDATE_INTERVAL.toNanos();
-        if (isDue || wasShort != detector.isShort()) {
+        if (hasChanged || now - updatedAt >= UPDATE_INTERVAL.toNanos()) {
             update(now);
         }
-        return wasShort != detector.isShort();
+        return hasChanged;
     }
 
     /**
--- a/core/src/main/java/org/sardinelift/core/admission/ShortageDetector.java
+++ b/core/src/main/java/org/sardinelift/core/admission/ShortageDetector.java
@@ -44,6 +44,9 @@
 
     /** Takes a sample of the slots in use. */
     void onSample(double used, double slots, long now) {
+        if (slots <= 0) {
+            isShort = false;
+        }
         boolean isOtherState =
                 isShort ? used < RELAXED_FRACTION * slots : used >= FULL_FRACTION * slots;
         if (slots <= 0 || !isOtherState) {
--- a/core/src/test/java/org/sardinelift/core/admission/FairAdmissionTest.java
+++ b/core/src/test/java/org/sardinelift/core/admission/FairAdmissionTest.java
@@ -126,6 +126,24 @@
         assertFalse(admission.isShort());
     }
 
+    /** Guards against refusals for shares while there is no target at all, and so no share. */
+    @Test
+    void aShortageEndsWhenThereIsNoTarget() {
+        fill(Duration.ofMillis(500));
+        assertTrue(admission.onSample(0, 0, 1, now));
+        assertEquals(ShareDecision.Admitted.NO_SHORTAGE, decide("a", false));
+    }
+
+    /** Guards against a shortage without a log line, if a call finds no room between samples. */
+    @Test
+    void aShortageThatBeginsWithACallIsAnnouncedOnce() {
+        admission.onSample(9.5, 10, 1, now);
+        admission.onNoRoom("a", now);
+        assertTrue(admission.isShort());
+        assertTrue(admission.onSample(9.5, 10, 1, now));
+        assertFalse(admission.onSample(9.5, 10, 1, now));
+    }
+
     /** Guards against the demand of a lost gateway being used for longer than 1.2 s. */
     @Test
     void reportsExpire() {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -44,7 +44,9 @@
         this.adapter = adapter;
         this.jobProxy = jobProxy;
         CallGate start = (exchange, call) -> call.start();
-        this.firstGate = new ResumeGate(context, new CrashGate(context, start));
+        boolean hasFairShares = context.network().shares().isEnabled();
+        CallGate shares = hasFairShares ? new FairShareGate(context, start) : start;
+        this.firstGate = new ResumeGate(context, new CrashGate(context, shares));
     }
 
     @Override
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -42,6 +42,10 @@
             PeerNetwork network,
             PlanFeed plans) {
         table.setDeathListener(network.crashes()::onTargetDeath);
+        if (settings.hasFairShares()) {
+            ShortageSampler sampler = new ShortageSampler(table, network);
+            network.shares().enable(sampler, settings.typicalCallTime());
+        }
         ForwardingContext context =
                 new ForwardingContext(
                         settings,
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -29,6 +29,8 @@
         OVER_RATE(429, "over_rate", "not_run"),
         /** No target can serve the call in time. */
         NO_ROOM(503, "no_room", "not_run"),
+        /** The targets are short, and the team has used its share of them. */
+        OVER_SHARE(503, "over_share", "not_run"),
         /** No target is available at all. */
         NO_TARGET(503, "no_target", "not_run"),
         /** This gateway has no configuration yet. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -187,20 +187,30 @@
         Duration left = timeLeft(now);
         Duration untilSlot =
                 refusal.hasNoTarget() ? TARGET_REGISTRATION_TIME : refusal.retryAfter();
+        Duration longest = ErrorResponses.maxRetryDelay(left);
         Duration retryDelay =
-                context.retryTimes()
-                        .nextRetryAfter(
-                                untilSlot,
-                                context.freedSlotsPerSecond(now),
-                                ErrorResponses.maxRetryDelay(left),
-                                call.fingerprint(),
-                                now);
+                refusal.hasNoTarget()
+                        ? usualRetryDelay(untilSlot, longest, now)
+                        : context.network()
+                                .shares()
+                                .onNoRoom(call.service(), call.team(), longest, now)
+                                .orElseGet(() -> usualRetryDelay(untilSlot, longest, now));
         Kind kind = refusal.hasNoTarget() ? Kind.NO_TARGET : Kind.NO_ROOM;
         String detail = refusalDetail(refusal, now);
         finish(kind.label());
         ErrorResponses.send(exchange, kind, call.id(), detail, retryDelay);
     }
 
+    private Duration usualRetryDelay(Duration untilSlot, Duration longest, long now) {
+        return context.retryTimes()
+                .nextRetryAfter(
+                        untilSlot,
+                        context.freedSlotsPerSecond(now),
+                        longest,
+                        call.fingerprint(),
+                        now);
+    }
+
     /** The figures behind a refusal, for the log and the caller. */
     private String refusalDetail(Choice.Refused refusal, long now) {
         List<TargetLoad> loads = context.targets().usableLoads(group, triedTargets, now);
@@ -386,6 +396,9 @@
 
     /** A response whose end only its connection shows counts if its target is still alive. */
     private void recordCompletion(TargetAttempt from) {
+        context.network()
+                .shares()
+                .onCompleted(call.service(), call.team(), from.slotNanos(), context.now());
         CrashReports crashes = context.network().crashes();
         if (!from.endsWithConnection()) {
             crashes.onCompleted(call.traits());
--- a/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
@@ -41,8 +41,19 @@
                     .labelNames("result")
                     .register();
 
+    private static final Counter ABOVE_SHARE_CALLS =
+            Counter.builder()
+                    .name("sardinelift_gateway_above_share_calls_total")
+                    .help("Calls of teams above their share in a shortage, by what became of them")
+                    .labelNames("result")
+                    .register();
+
     private GatewayMetrics() {}
 
+    static void recordAboveShare(String result) {
+        ABOVE_SHARE_CALLS.labelValues(result).inc();
+    }
+
     static void recordResume(String result) {
         RESUMED_STREAMS.labelValues(result).inc();
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -183,6 +183,13 @@
         body.writeBytes(part);
     }
 
+    /** Time that the call has occupied its slot, without the wait in the target's queue. */
+    long slotNanos() {
+        return firstEventAt == 0
+                ? Math.max(0, lastProgressAt - sentAt - load.expectedWaitNanos())
+                : lastProgressAt - firstEventAt + target.health().timeToFirstEventNanos();
+    }
+
     private void recordEvents(int count) {
         if (events == 0) {
             firstEventAt = lastProgressAt;
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -86,6 +86,7 @@
             new TeamQuotaReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final RateLimitReports rateLimits =
             new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
+    private final FairShareReports shares = new FairShareReports();
     private final CrashReports crashes;
     private final StreamExchange streams;
     private final List<ReportSection> sections;
@@ -174,7 +175,7 @@
         this.streams =
                 new StreamExchange(
                         settings.instance(), loop, this::sendStreams, this::isTargetListCurrent);
-        this.sections = List.of(uses, quotas, rateLimits, streams, crashes);
+        this.sections = List.of(uses, quotas, rateLimits, streams, crashes, shares);
         this.reportBuilder = new ReportBuilder(settings, role, storeReadState, peers, sections);
         this.relay = new ReportRelay(settings, role, peers, loop, this::sendRelayed);
         this.channel =
@@ -265,6 +266,15 @@
         return rateLimits;
     }
 
+    /**
+     * The demands of teams while targets are short.
+     *
+     * @return the demands of all gateways
+     */
+    public FairShareReports shares() {
+        return shares;
+    }
+
     /**
      * What is known of requests that crash targets.
      *
@@ -466,6 +476,7 @@
         if (isFullReportDue) {
             fullReportSentAt = now;
         }
+        shares.onFleetReport();
         sendTo(
                 isFullReportDue ? reportBuilder.buildFull() : reportBuilder.buildIncremental(),
                 peer -> true);
