--- a/core/src/main/java/org/sardinelift/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/sardinelift/core/admission/FairAdmission.java
@@ -1,6 +1,7 @@
 package org.sardinelift.core.admission;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -133,12 +134,7 @@
             return;
         }
         fleet.sumUp(now);
-        Map<String, Double> ofTeams =
-                accounts.entrySet().stream()
-                        .collect(
-                                Collectors.toMap(
-                                        Map.Entry::getKey, entry -> entry.getValue().weight()));
-        fleet.updateLevel(ownDemand(now), ofTeams, dividedSlots() * reportedFraction(now));
+        fleet.updateLevel(ownDemand(now), weights, dividedSlots() * reportedFraction(now));
     }
 
     private double dividedSlots() {
@@ -279,34 +275,39 @@
     }
 
     private ReportedDemand ownDemand(long now) {
-        Map<String, Double> slots =
-                accounts.entrySet().stream()
-                        .collect(
-                                Collectors.toMap(
-                                        Map.Entry::getKey, entry -> entry.getValue().slots(now)));
-        slots.values().removeIf(each -> each < MIN_SLOTS);
-        List<Map.Entry<String, Double>> named =
-                slots.entrySet().stream()
-                        .filter(entry -> isNearShare(entry.getKey(), entry.getValue()))
+        double near = NEAR_SHARE * levelForReports();
+        List<Map.Entry<String, Double>> nearShare = new ArrayList<>();
+        double all = 0;
+        int teams = 0;
+        // A loop, as this passes over all teams several times per second.
+        for (Map.Entry<String, ShareAccount> entry : accounts.entrySet()) {
+            double slots = entry.getValue().slots(now);
+            if (slots >= MIN_SLOTS) {
+                teams++;
+                all += slots;
+                if (isNear(entry.getKey(), slots, near * entry.getValue().weight())) {
+                    nearShare.add(Map.entry(entry.getKey(), slots));
+                }
+            }
+        }
+        Map<String, Double> named =
+                nearShare.stream()
                         .sorted(Map.Entry.comparingByValue(Comparator.reverseOrder()))
                         .limit(ReportedDemand.MAX_TEAMS)
-                        .toList();
-        double all = slots.values().stream().mapToDouble(Double::doubleValue).sum();
-        double namedSlots = named.stream().mapToDouble(Map.Entry::getValue).sum();
-        return new ReportedDemand(
-                named.stream().collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)),
-                slots.size() - named.size(),
-                Math.max(0, all - namedSlots));
+                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        double namedSlots = named.values().stream().mapToDouble(Double::doubleValue).sum();
+        return new ReportedDemand(named, teams - named.size(), Math.max(0, all - namedSlots));
     }
 
-    /** Whether a team's demand over the fleet, known or extrapolated, is near its share. */
-    private boolean isNearShare(String team, double own) {
+    /** The level of shares; while all demands fit, an even division over the teams known here. */
+    private double levelForReports() {
         double level = fleet.level();
-        double near =
-                NEAR_SHARE
-                        * accounts.get(team).weight()
-                        * (Double.isInfinite(level) ? capacity / accounts.size() : level);
-        return own * gateways >= near || own + fleet.slotsElsewhere(team) >= near;
+        return Double.isInfinite(level) ? capacity / Math.max(1, accounts.size()) : level;
+    }
+
+    /** Whether a team's demand over the fleet, known or extrapolated, reaches a bound. */
+    private boolean isNear(String team, double own, double bound) {
+        return own * gateways >= bound || own + fleet.slotsElsewhere(team) >= bound;
     }
 
     /**
--- a/core/src/main/java/org/sardinelift/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/sardinelift/core/admission/FleetDemand.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Demand that the other gateways reported for a service, and the level of shares that follows.
@@ -81,7 +82,7 @@
     }
 
     /** Computes the level from the reports, that of this gateway included. */
-    void updateLevel(ReportedDemand own, Map<String, Double> weights, double capacity) {
+    void updateLevel(ReportedDemand own, ToDoubleFunction<String> weights, double capacity) {
         List<ReportedDemand> all = new ArrayList<>();
         all.add(own);
         reports.values().forEach(report -> all.add(report.demand()));
@@ -93,8 +94,7 @@
         List<MaxMinShare.Demand> demands = new ArrayList<>();
         named.forEach(
                 (team, slots) ->
-                        demands.add(
-                                new MaxMinShare.Demand(slots, weights.getOrDefault(team, 1.0))));
+                        demands.add(new MaxMinShare.Demand(slots, weights.applyAsDouble(team))));
         List<ReportedDemand> cut = all.stream().filter(ReportedDemand::isCut).toList();
         // Teams that a cut report doesn't name are mostly the same at all gateways.
         int cutTeams = cut.stream().mapToInt(ReportedDemand::otherTeams).max().orElse(0);
