--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -44,8 +44,10 @@
         this.adapter = adapter;
         this.jobProxy = jobProxy;
         CallGate start = (exchange, call) -> call.start();
+        CallGate shares =
+                context.network().shares().isEnabled() ? new FairShareGate(context, start) : start;
         CallGate resume =
-                new MemoryGate(context, new ResumeGate(context, new CrashGate(context, start)));
+                new MemoryGate(context, new ResumeGate(context, new CrashGate(context, shares)));
         this.firstGate =
                 context.settings()
                         .maxLoopDelay()
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -198,17 +198,15 @@
                 refusal.hasNoTarget()
                         ? TARGET_REGISTRATION_TIME
                         : RateLimitedTargetFilter.untilCapacity(
-                                refusal.retryAfter(),
-                                context.targets().usableLoads(group, triedTargets, now),
-                                context.targets());
+                                refusal.retryAfter(), usable, context.targets());
+        Duration longest = ErrorResponses.maxRetryDelay(left);
         Duration retryDelay =
-                context.retryTimes()
-                        .nextRetryAfter(
-                                untilSlot,
-                                context.freedSlotsPerSecond(now),
-                                ErrorResponses.maxRetryDelay(left),
-                                call.fingerprint(),
-                                now);
+                refusal.hasNoTarget()
+                        ? usualRetryDelay(untilSlot, longest, now)
+                        : context.network()
+                                .shares()
+                                .onNoRoom(call.service(), call.team(), longest, now)
+                                .orElseGet(() -> usualRetryDelay(untilSlot, longest, now));
         Kind kind = refusal.hasNoTarget() ? Kind.NO_TARGET : Kind.NO_ROOM;
         if (lacksMemory) {
             kind = Kind.NO_MEMORY;
@@ -244,6 +242,16 @@
         heldTokens = 0;
     }
 
+    private Duration usualRetryDelay(Duration untilSlot, Duration longest, long now) {
+        return context.retryTimes()
+                .nextRetryAfter(
+                        untilSlot,
+                        context.freedSlotsPerSecond(now),
+                        longest,
+                        call.fingerprint(),
+                        now);
+    }
+
     /** The figures behind a refusal, for the log and the caller. */
     private String refusalDetail(Choice.Refused refusal, long now) {
         List<TargetLoad> loads = context.targets().usableLoads(group, triedTargets, now);
@@ -439,6 +447,9 @@
 
     /** A response whose end only its connection shows counts if its target is still alive. */
     private void recordCompletion(TargetAttempt from) {
+        context.network()
+                .shares()
+                .onCompleted(call.service(), call.team(), from.slotNanos(), context.now());
         CrashReports crashes = context.network().crashes();
         if (!from.endsWithConnection()) {
             crashes.onCompleted(call.traits());
--- a/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/GatewayMetrics.java
@@ -48,12 +48,23 @@
                     .labelNames("kind")
                     .register();
 
+    private static final Counter ABOVE_SHARE_CALLS =
+            Counter.builder()
+                    .name("sardinelift_gateway_above_share_calls_total")
+                    .help("Calls of teams above their share in a shortage, by what became of them")
+                    .labelNames("result")
+                    .register();
+
     private GatewayMetrics() {}
 
     static void recordMemoryRefusal(String kind) {
         MEMORY_REFUSALS.labelValues(kind).inc();
     }
 
+    static void recordAboveShare(String result) {
+        ABOVE_SHARE_CALLS.labelValues(result).inc();
+    }
+
     static void recordResume(String result) {
         RESUMED_STREAMS.labelValues(result).inc();
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -92,6 +92,7 @@
     private final TeamQuotaReports quotas =
             new TeamQuotaReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE));
     private final RateLimitReports rateLimits;
+    private final FairShareReports shares = new FairShareReports();
     private final CrashReports crashes;
     private final StreamExchange streams;
     private final Optional<EvacuationReports> evacuations;
@@ -194,7 +195,7 @@
         evacuations.ifPresent(each -> each.addListener(rateLimits.cold()::onEvacuationEnded));
         this.sections =
                 Stream.concat(
-                                Stream.of(uses, quotas, rateLimits, streams, crashes),
+                                Stream.of(uses, quotas, rateLimits, streams, crashes, shares),
                                 evacuations.stream())
                         .toList();
         this.reportBuilder = new ReportBuilder(settings, role, storeReadState, peers, sections);
@@ -305,6 +306,15 @@
         return rateLimits;
     }
 
+    /**
+     * The demands of teams while targets are short.
+     *
+     * @return the demands of all gateways
+     */
+    public FairShareReports shares() {
+        return shares;
+    }
+
     /**
      * What is known of requests that crash targets.
      *
@@ -530,6 +540,7 @@
         if (isFullReportDue) {
             fullReportSentAt = now;
         }
+        shares.onFleetReport();
         sendTo(
                 isFullReportDue ? reportBuilder.buildFull() : reportBuilder.buildIncremental(),
                 peer -> true);
