--- a/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
@@ -137,13 +137,14 @@
     /**
      * The action that {@link #due} returned has ended.
      *
-     * @param isAnswered whether the store is known to have executed or refused it
+     * @param isAnswered false if a read failed. A write without a response doesn't show that the
+     *     store is away; the read that follows does
      * @param isDone whether a read or write succeeded
      * @param now the time
      */
     public void onActionEnded(boolean isAnswered, boolean isDone, long now) {
         isBusy = false;
-        isStoreAway = !isAnswered && !isDone;
+        isStoreAway = !isAnswered;
         nextReadAt = isDone ? Long.MIN_VALUE : now + RETRY_INTERVAL.toNanos();
         if (!isDone) {
             changeDueAt = OptionalLong.empty();
@@ -160,6 +161,19 @@
         listedSince.keySet().forEach(version -> lastListedAt.put(version, now));
         listedSince.keySet().retainAll(versions);
         versions.forEach(version -> listedSince.putIfAbsent(version, now));
+        long maxAge = windowNanos + UNUSED_TIME.toNanos();
+        lastListedAt.values().removeIf(at -> now - at > maxAge);
+    }
+
+    /**
+     * Whether new streams may begin at all listed versions, so that none needs to be left out.
+     *
+     * @param now the time
+     * @return whether all are recorded and on the lists of all instances
+     */
+    public boolean allowsAllVersions(long now) {
+        return listedSince.keySet().stream()
+                .allMatch(version -> mayBegin(version) && isSettled(version, now));
     }
 
     /**
--- a/core/src/test/java/org/sardinelift/core/resume/RecordedVersionsTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/RecordedVersionsTest.java
@@ -157,6 +157,17 @@
         assertEquals(Set.of(V1, V2), select(2, V1, V2));
     }
 
+    /** Guards against streams that begin unrecorded after a write got no response. */
+    @Test
+    void aWriteWithoutAResponseIsWaitedFor() {
+        list(0, V1);
+        read(0.1, Map.of());
+        versions.onActionEnded(true, false, seconds(1.5));
+
+        assertEquals(Set.of(), select(7.9, V1));
+        assertEquals(Set.of(V1), select(8, V1));
+    }
+
     @Test
     void aVersionIsRemovedInTwoStepsAndUnmarkedWhenItReturns() {
         list(0, V1, V2);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/SettledVersionFilter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/SettledVersionFilter.java
@@ -23,7 +23,7 @@
     @Override
     public List<TargetLoad> filter(ForwardedCall call, List<TargetLoad> loads, long now) {
         boolean mayChoose = call.mayBeResumed() && call.group().softwareVersion().isEmpty();
-        if (!mayChoose || loads.isEmpty()) {
+        if (!mayChoose || recorded.allowsAllVersions(now)) {
             return loads;
         }
         Set<SoftwareVersion> available =
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/VersionStateFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/VersionStateFeed.java
@@ -116,7 +116,6 @@
         storeAvailability.onResult(result);
         VersionRecordMetrics.count(result);
         boolean isDone = result instanceof WriteResult.Written;
-        boolean isAnswered = isDone || result instanceof WriteResult.Conflict;
         if (result instanceof WriteResult.Written written) {
             apply(record, written.version(), askedAt);
         }
@@ -124,7 +123,7 @@
                 .with("versions", describe(record))
                 .with("result", VersionRecordMetrics.name(result))
                 .info();
-        recorded.onActionEnded(isAnswered, isDone, System.nanoTime());
+        recorded.onActionEnded(true, isDone, System.nanoTime());
         check();
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
@@ -46,6 +46,9 @@
     /** Wait for further streams of the same keeper; the first event takes longer. */
     private static final Duration ANNOUNCEMENT_DELAY = Duration.ofMillis(2);
 
+    /** Before the first event, after which a stream that is not known is lost to its caller. */
+    private static final Duration ANNOUNCEMENT_REPEAT_DELAY = Duration.ofMillis(10);
+
     /** Several round trips between zones. */
     private static final Duration REPEAT_DELAY = Duration.ofMillis(40);
 
@@ -263,7 +266,7 @@
                         keeper ->
                                 loop.schedule(
                                         () -> enqueue(keeper.name(), origin),
-                                        REPEAT_DELAY.toNanos(),
+                                        ANNOUNCEMENT_REPEAT_DELAY.toNanos(),
                                         TimeUnit.NANOSECONDS));
     }
 
