A gateway is ready once streams may begin, and uses a peer's record at once while the store is away

Three tests of FleetTest failed with 503 right after the ready state, since the record was still awaited. FleetTest, RecordedVersionsTest and VersionRecordFeedTest pass now.

--- a/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
@@ -165,6 +165,17 @@
         lastListedAt.values().removeIf(at -> now - at > maxAge);
     }
 
+    /**
+     * Whether new streams may begin at some listed version, or none is listed.
+     *
+     * @param now the time
+     * @return false while the record is awaited
+     */
+    public boolean allowsSomeVersion(long now) {
+        return listedSince.isEmpty()
+                || !selectForNewStreams(Set.copyOf(listedSince.keySet()), now).isEmpty();
+    }
+
     /**
      * Whether new streams may begin at all listed versions, so that none needs to be left out.
      *
@@ -285,7 +296,13 @@
         if (!recorded.isEmpty()) {
             return filter(recorded, version -> !mayOtherVersionServe(version, now));
         }
-        return mayRecordArrive(available, now) ? Set.of() : selectWithoutStore(available, now);
+        boolean isPeerRecordKnown =
+                isStoreAway
+                        && known != null
+                        && available.stream().anyMatch(known.record()::isUsable);
+        return !isPeerRecordKnown && mayRecordArrive(available, now)
+                ? Set.of()
+                : selectWithoutStore(available, now);
     }
 
     private boolean mayRecordArrive(Set<SoftwareVersion> available, long now) {
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -137,7 +137,10 @@
 
     /** Must be called on the event loop, like the admission of calls. */
     private boolean isReady() {
-        return !isStopping && node.plans().current() != null && !targetTable.all().isEmpty();
+        return !isStopping
+                && node.plans().current() != null
+                && !targetTable.all().isEmpty()
+                && node.network().streams().recorded().allowsSomeVersion(System.nanoTime());
     }
 
     /**
