Take a record of versions that is first written later for no proof

An instance that found no record and wrote one with the version that it listed took it for a proof at once, though streams may have begun unrecorded before: at the release before, or while the store failed. Only at the first start of the deployment (setting firstStart, filled in by the platform) can nothing have begun. Otherwise the version is recorded as unproved until an instance has listed it for the 60 s within which streams may be resumed. RecordedVersionsTest.aRecordThatIsFirstWrittenLaterProvesNothingUntilTheWindowHasPassed guards it.

--- a/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
@@ -49,6 +49,7 @@
     private final long windowNanos;
     private final long settleNanos;
     private final RandomGenerator random;
+    private final boolean isFirstStart;
     private final Map<SoftwareVersion, Long> listedSince = new HashMap<>();
     private final Map<SoftwareVersion, Long> lastListedAt = new HashMap<>();
     private final Map<SoftwareVersion, Long> unusedSince = new HashMap<>();
@@ -85,7 +86,9 @@
         record Write(VersionRecord record, long expectedVersion) implements Action {}
     }
 
-    private RecordedVersions(Duration window, Duration settleTime, RandomGenerator random) {
+    private RecordedVersions(
+            Duration window, Duration settleTime, RandomGenerator random, boolean isFirstStart) {
+        this.isFirstStart = isFirstStart;
         this.windowNanos = window.toNanos();
         this.settleNanos = settleTime.toNanos();
         this.random = random;
@@ -98,11 +101,13 @@
      * @param settleTime time after which a version is on the lists of all instances that rely on
      *     them
      * @param random spreads the writes of several instances
+     * @param isFirstStart whether the deployment starts for the first time, so that no stream can
+     *     have begun before
      * @return the state
      */
     public static RecordedVersions create(
-            Duration window, Duration settleTime, RandomGenerator random) {
-        return new RecordedVersions(window, settleTime, random);
+            Duration window, Duration settleTime, RandomGenerator random, boolean isFirstStart) {
+        return new RecordedVersions(window, settleTime, random, isFirstStart);
     }
 
     /**
@@ -222,6 +227,7 @@
         boolean isProvedByRecord =
                 known != null
                         && recorded.equals(possible)
+                        && recorded.stream().noneMatch(this::isUnproved)
                         && known.at() - since >= -MAX_LIST_DELAY.toNanos();
         boolean isProved = isProvedByRecord || now - since >= windowNanos;
         return isProved && possible.size() == 1
@@ -229,6 +235,10 @@
                 : Optional.empty();
     }
 
+    private boolean isUnproved(SoftwareVersion version) {
+        return known != null && known.record().states().get(version) == State.UNPROVED;
+    }
+
     /** Whether this instance has observed for the window that no target has a version. */
     private boolean isGone(SoftwareVersion version, long now) {
         Long since = unusedSince.get(version);
@@ -415,14 +425,26 @@
                         next.put(
                                 version,
                                 newServices.contains(version.service())
-                                        ? State.IN_USE
+                                        ? stateOfNewService()
                                         : State.NEW));
         seenLately.stream()
                 .filter(version -> newServices.contains(version.service()))
-                .forEach(version -> next.put(version, State.IN_USE));
+                .forEach(version -> next.put(version, stateOfNewService()));
         return new VersionRecord(next);
     }
 
+    /** That a service isn't recorded shows nothing, unless nothing can have begun before. */
+    private State stateOfNewService() {
+        return isFirstStart ? State.IN_USE : State.UNPROVED;
+    }
+
+    /** Whether all streams that may be resumed now began under the eyes of this instance. */
+    private boolean isProvedNow(long listedSince, long now) {
+        return now - listedSince >= windowNanos
+                && observedSince.isPresent()
+                && now - observedSince.getAsLong() >= windowNanos;
+    }
+
     /** The state that a recorded version should have, or empty if it is to be removed. */
     private Optional<State> nextState(SoftwareVersion version, State state, long now) {
         Long since = listedSince.get(version);
@@ -431,6 +453,7 @@
             return Optional.of(
                     switch (state) {
                         case UNUSED -> State.NEW;
+                        case UNPROVED -> isProvedNow(since, now) ? State.IN_USE : State.UNPROVED;
                         case NEW -> isSettledHere ? State.IN_USE : State.NEW;
                         case IN_USE -> State.IN_USE;
                     });
--- a/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/StreamVersions.java
@@ -37,9 +37,10 @@
     private final StreamOrigins kept = StreamOrigins.create(RESUME_WINDOW, MAX_STREAMS);
     private final String instance;
 
-    private StreamVersions(String instance, RandomGenerator random) {
+    private StreamVersions(String instance, RandomGenerator random, boolean isFirstStart) {
         this.instance = instance;
-        this.recorded = RecordedVersions.create(RESUME_WINDOW, VERSION_SETTLE_TIME, random);
+        this.recorded =
+                RecordedVersions.create(RESUME_WINDOW, VERSION_SETTLE_TIME, random, isFirstStart);
     }
 
     /** How the version that began a stream was found. */
@@ -67,10 +68,12 @@
      *
      * @param instance its name
      * @param random spreads the writes of several instances
+     * @param isFirstStart whether the deployment starts for the first time
      * @return the state
      */
-    public static StreamVersions create(String instance, RandomGenerator random) {
-        return new StreamVersions(instance, random);
+    public static StreamVersions create(
+            String instance, RandomGenerator random, boolean isFirstStart) {
+        return new StreamVersions(instance, random, isFirstStart);
     }
 
     /**
--- a/core/src/main/java/org/sardinelift/core/resume/VersionRecord.java
+++ b/core/src/main/java/org/sardinelift/core/resume/VersionRecord.java
@@ -19,6 +19,11 @@
 
     /** State of a version. */
     public enum State {
+        /**
+         * The service was not recorded before, though the deployment had run: streams may have
+         * begun at versions that are not recorded.
+         */
+        UNPROVED,
         /** Some instances may not have listed it yet. */
         NEW,
         /** All instances with a current list have listed it. */
--- a/core/src/test/java/org/sardinelift/core/resume/RecordedVersionsTest.java
+++ b/core/src/test/java/org/sardinelift/core/resume/RecordedVersionsTest.java
@@ -18,9 +18,12 @@
     private static final SoftwareVersion V1 = new SoftwareVersion("llm", "v1");
     private static final SoftwareVersion V2 = new SoftwareVersion("llm", "v2");
 
-    private final RecordedVersions versions =
-            RecordedVersions.create(
-                    Duration.ofSeconds(60), Duration.ofMillis(1_500), new Random(1));
+    private RecordedVersions versions = create(true);
+
+    private static RecordedVersions create(boolean isFirstStart) {
+        return RecordedVersions.create(
+                Duration.ofSeconds(60), Duration.ofMillis(1_500), new Random(1), isFirstStart);
+    }
 
     private static long seconds(double seconds) {
         return (long) (seconds * 1e9);
@@ -200,4 +203,35 @@
         assertEquals(Optional.empty(), written(270));
         assertEquals(Map.of(V2, State.IN_USE), written(271).orElseThrow());
     }
+
+    /**
+     * Streams may have begun unrecorded, such as at the release before or while the store failed.
+     */
+    @Test
+    void aRecordThatIsFirstWrittenLaterProvesNothingUntilTheWindowHasPassed() {
+        versions = create(false);
+        list(0, V1);
+        read(0.1, Map.of());
+
+        Map<SoftwareVersion, State> first = written(0.1).orElseThrow();
+        assertEquals(Map.of(V1, State.UNPROVED), first);
+        read(0.5, first);
+        assertEquals(Optional.empty(), sole(1, V1));
+        assertEquals(Set.of(V1), select(2, V1));
+
+        list(61, V1);
+        Map<SoftwareVersion, State> later = written(61).orElseThrow();
+        assertEquals(Map.of(V1, State.IN_USE), later);
+        read(62, later);
+        assertEquals(Optional.of(V1), sole(62.1, V1));
+    }
+
+    /** An instance that starts meanwhile must not take the record for a proof either. */
+    @Test
+    void anUnprovedVersionIsNoProofForAnotherInstance() {
+        list(10, V1);
+        read(10.1, Map.of(V1, State.UNPROVED));
+
+        assertEquals(Optional.empty(), sole(11, V1));
+    }
 }
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -140,7 +140,7 @@
         }
 
         private void start() {
-            versions = StreamVersions.create(name, new Random(random.nextLong()));
+            versions = StreamVersions.create(name, new Random(random.nextLong()), true);
             startedAt = now;
             list = Map.of();
             listedAt = Long.MIN_VALUE;
--- a/gateway/src/main/java/org/sardinelift/gateway/NodeSettings.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/NodeSettings.java
@@ -18,6 +18,8 @@
  * @param storeCallsPerSecond limit on this instance's calls to the store
  * @param gracePeriod time between the request to stop and the kill
  * @param maxInstances largest number of instances that the deployment may have
+ * @param isFirstStart whether the whole deployment starts for the first time, so that no stream can
+ *     have begun before
  * @param boundsTargetMemory whether calls and items are bounded by the memory of targets
  * @param evacuationTime time within which an evacuation of a zone must take effect; empty if
  *     evacuations are not read
@@ -32,6 +34,7 @@
         int storeCallsPerSecond,
         Duration gracePeriod,
         int maxInstances,
+        boolean isFirstStart,
         boolean boundsTargetMemory,
         Optional<Duration> evacuationTime) {
 
@@ -55,6 +58,7 @@
                 store.integer("callsPerSecond", 60, 1, 100_000),
                 node.millis("graceMs", 8_000),
                 node.object("fleet").integer("maxInstances", 40, 1, 100_000),
+                node.flag("firstStart", false),
                 node.flag("boundTargetMemory", false),
                 evacuationTime(node));
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/PeerNetwork.java
@@ -187,7 +187,11 @@
         this.storeReadState = storeReadState;
         this.streams =
                 new StreamExchange(
-                        settings.instance(), loop, this::sendStreams, this::isTargetListCurrent);
+                        settings.instance(),
+                        settings.isFirstStart(),
+                        loop,
+                        this::sendStreams,
+                        this::isTargetListCurrent);
         this.rateLimits =
                 new RateLimitReports(new QuotaBounds(PEER_SILENCE_TIMEOUT, NEW_PEER_AGE), settings);
         rateLimits.cold().setEvidenceListener(this::onLocalChange);
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/StreamExchange.java
@@ -80,6 +80,7 @@
      * Creates an exchange.
      *
      * @param instance name of this instance
+     * @param isFirstStart whether the deployment starts for the first time
      * @param loop the event loop
      * @param sender sends a message to the peer of a name
      * @param isListCurrent whether, at a time, no other instance can know of targets that this one
@@ -87,6 +88,7 @@
      */
     StreamExchange(
             String instance,
+            boolean isFirstStart,
             EventLoop loop,
             BiConsumer<String, StreamMessage> sender,
             LongPredicate isListCurrent) {
@@ -94,7 +96,7 @@
         this.loop = loop;
         this.sender = sender;
         this.isListCurrent = isListCurrent;
-        this.versions = StreamVersions.create(instance, new SplittableRandom());
+        this.versions = StreamVersions.create(instance, new SplittableRandom(), isFirstStart);
     }
 
     /**
--- a/gateway/src/test/java/org/sardinelift/gateway/feed/VersionRecordFeedTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/feed/VersionRecordFeedTest.java
@@ -37,7 +37,7 @@
     private final ControlThread control = ControlThread.start("control");
 
     private final class Instance {
-        private final StreamVersions versions = StreamVersions.create("g", new Random(1));
+        private final StreamVersions versions = StreamVersions.create("g", new Random(1), true);
         private final StoreAvailability availability = new StoreAvailability();
         private final VersionRecordFeed times =
                 VersionRecordFeed.of(
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/EvacuationReportsTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/EvacuationReportsTest.java
@@ -64,6 +64,7 @@
                 1,
                 Duration.ofSeconds(8),
                 5,
+                true,
                 false,
                 evacuationTime);
     }
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/PeerNetworkTest.java
@@ -81,6 +81,7 @@
                 1,
                 Duration.ofSeconds(8),
                 5,
+                true,
                 false,
                 Optional.empty());
     }
@@ -242,6 +243,7 @@
                 usual.storeCallsPerSecond(),
                 usual.gracePeriod(),
                 usual.maxInstances(),
+                usual.isFirstStart(),
                 usual.boundsTargetMemory(),
                 usual.evacuationTime());
     }
--- a/gateway/src/test/java/org/sardinelift/gateway/peer/StreamExchangeTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/peer/StreamExchangeTest.java
@@ -79,7 +79,7 @@
         instances.put(
                 name,
                 new StreamExchange(
-                        name, loop, (to, message) -> send(name, to, message), now -> true));
+                        name, true, loop, (to, message) -> send(name, to, message), now -> true));
         peers.add(
                 new Peer(
                         name,
