--- a/core/src/main/java/org/sardinelift/core/quota/ColdTargets.java
+++ b/core/src/main/java/org/sardinelift/core/quota/ColdTargets.java
@@ -34,7 +34,7 @@
     /** Time for which a target is taken as cold if neither configuration nor entry state it. */
     private static final Duration DEFAULT_COLD_TIME = Duration.ofSeconds(10);
 
-    /** Longest cold time that is believed; a larger value is a fault of its sender. */
+    /** Longest cold time that is accepted; a larger value is a fault of its sender. */
     private static final Duration MAX_COLD_TIME = Duration.ofMinutes(5);
 
     private static final long STEP_NANOS = Duration.ofMillis(500).toNanos();
--- a/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
+++ b/core/src/main/java/org/sardinelift/core/resume/RecordedVersions.java
@@ -438,7 +438,7 @@
         return isFirstStart ? State.IN_USE : State.UNPROVED;
     }
 
-    /** Whether all streams that may be resumed now began under the eyes of this instance. */
+    /** Whether this instance has observed the targets for as long as a stream may be resumed. */
     private boolean isProvedNow(long listedSince, long now) {
         return now - listedSince >= windowNanos
                 && observedSince.isPresent()
--- a/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
+++ b/core/src/test/java/org/sardinelift/core/resume/ResumeFleet.java
@@ -5,7 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -112,7 +112,7 @@
         private final String name;
         private final String zone;
         private final OriginKeepers.Candidate candidate;
-        private final Set<Stream> streams = new HashSet<>();
+        private final Set<Stream> streams = new LinkedHashSet<>();
         private StreamVersions versions;
         private Map<String, SoftwareVersion> list = Map.of();
         private long listedAt;
@@ -434,6 +434,13 @@
             Consumer<Optional<Outcome>> onOutcome =
                     outcome -> outcome.ifPresent(known -> onOutcome(stream, known));
             keepers.forEach(keeper -> ask(stream, keeper, inquiry, onOutcome));
+            // StreamExchange repeats a question as well.
+            later(
+                    millis(40),
+                    () ->
+                            keepers.stream()
+                                    .filter(keeper -> inquiry.unanswered().contains(keeper.name))
+                                    .forEach(keeper -> ask(stream, keeper, inquiry, onOutcome)));
             if (keepers.isEmpty()) {
                 onOutcome(stream, new Outcome.Unknown(0));
             }
@@ -509,7 +516,7 @@
             isUp = false;
             downSince = now;
             life++;
-            Set<Stream> broken = Set.copyOf(streams);
+            List<Stream> broken = List.copyOf(streams);
             streams.clear();
             broken.forEach(stream -> stream.isBroken = true);
             broken.forEach(ResumeFleet.this::comeBack);
