--- a/review/standins/review/ItemHeaders.java
+++ b/review/standins/review/ItemHeaders.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The client of a batch job states a tenant, and its key, in the headers of its items. */
+/** The client of a batch job states a tenant, or its key, in the headers of its items. */
 final class ItemHeaders implements Case.Script {
     private static final int ITEMS = 10;
     private static final String JOB = "7c41e09b52d6a3f9";
@@ -33,8 +33,10 @@
         ArrayNode items = Store.JSON.createArrayNode();
         for (int i = 0; i < ITEMS; i++) {
             ObjectNode item = Batch.item(String.format("a5b2907c14da%04x", i), new byte[100], 400);
-            if (hasTrouble) {
+            if (hasTrouble && i % 2 == 0) {
                 ((ObjectNode) item.get("headers")).put("Sardinelift-Tenant", OTHER_TENANT);
+            } else if (hasTrouble) {
+                ((ObjectNode) item.get("headers")).put("Authorization", "Bearer " + Fleet.KEY);
             }
             items.add(item);
         }
@@ -59,6 +61,9 @@
         if (foreign > 0) {
             record.write("UNASKED: items run whose tenant isn't the one that holds the key");
         }
+        if (withKey > 0) {
+            record.write("UNASKED: items run to which the key was passed on");
+        }
         return foreign == 0 && withKey == 0;
     }
 
