Don't exclude a target for good when it rejects a request for its weights

Cause: a target answers 421 if its address belongs to another target now, and if its weights have another version than the request expects. Each 421 was taken for the first, which excludes the target until its next incarnation, and a refused request goes on to the next target.

Change: a target is excluded only if the answer names another one, or names none and the request expects no weights. What a target refused or stated of its weights in the last second decides where such requests go; if none may have the version, a call is refused at once (no_weights, not run) and an item waits without holding back others. After a second a target is asked again, since weights change in place.

--- a/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/HeaderNames.java
@@ -21,6 +21,9 @@
  * @param tokenCount tokens of a request's prompt and most tokens of its output, in the platform's
  *     own notation
  * @param waitMs time that a read may wait for a result, milliseconds
+ * @param targetId id of the target that sent a response
+ * @param expectedWeights version of the weights that a request expects
+ * @param weights version of the weights of the target that sent a response
  */
 public record HeaderNames(
         String callId,
@@ -36,4 +39,7 @@
         String resumedCallId,
         String promptParts,
         String tokenCount,
-        String waitMs) {}
+        String waitMs,
+        String targetId,
+        String expectedWeights,
+        String weights) {}
--- a/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/AdmittedCall.java
@@ -1,6 +1,7 @@
 package org.sardinelift.gateway.call;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.sardinelift.core.plan.CallKind;
 import org.sardinelift.core.plan.RoutePlan;
@@ -19,6 +20,7 @@
  * @param lastEventId event after which the caller resumes a stream
  * @param resumedCallId id of the caller's attempt that began the stream, empty if it names none
  * @param tokens tokens that it may hold in the memory of a target, empty if it states none
+ * @param expectedWeights version of the weights that a target must have, empty if any will do
  * @param traits what may make it crash a target
  */
 record AdmittedCall(
@@ -32,6 +34,7 @@
         OptionalLong lastEventId,
         String resumedCallId,
         OptionalLong tokens,
+        Optional<String> expectedWeights,
         RequestTraits traits) {
     /** Whether the caller resumes a stream that an earlier attempt began. */
     boolean isResumedStream() {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -140,6 +140,7 @@
                 readLastEventId(exchange),
                 resumedCallId,
                 adapter.tokenCount(exchange.header(headerNames().tokenCount())),
+                Optional.ofNullable(exchange.header(headerNames().expectedWeights())),
                 RequestTraits.of(fingerprint(team, exchange), service, promptParts));
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -48,6 +48,7 @@
             network.shares().enable(sampler, settings.typicalCallTime());
         }
         TargetMemoryLimits memory = new TargetMemoryLimits(plans, network);
+        ExpectedWeights weights = new ExpectedWeights(table);
         ForwardingContext context =
                 new ForwardingContext(
                         settings,
@@ -60,7 +61,8 @@
                         new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders()),
                         new StallDetector(loop),
                         memory,
-                        candidateFilters(settings, targetClient, table, network, memory));
+                        weights,
+                        candidateFilters(settings, targetClient, table, network, memory, weights));
         JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
         return new CallPipeline(new CallHandler(context, plans, adapter, jobs));
     }
@@ -70,9 +72,11 @@
             HttpClient targetClient,
             TargetTable table,
             PeerNetwork network,
-            TargetMemoryLimits memory) {
+            TargetMemoryLimits memory,
+            ExpectedWeights weights) {
         List<CandidateFilter> filters = new ArrayList<>();
         filters.add(memory);
+        filters.add(weights);
         filters.add(new SettledVersionFilter(table, network.streams().recorded()));
         filters.add(new RateLimitedTargetFilter(table, network.rateLimits()));
         if (!settings.unrepeatableReuseTime().isZero()) {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -41,6 +41,8 @@
         EXCEEDS_MEMORY(413, "exceeds_memory", "not_run"),
         /** The call fits into the memory of no target at present. */
         NO_MEMORY(503, "no_memory", "not_run"),
+        /** No target has the version of the weights that the call expects. */
+        NO_WEIGHTS(503, "no_weights", "not_run"),
         /** This gateway has no configuration yet. */
         NOT_READY(503, "not_ready", "not_run"),
         /** Every target that received the call failed, or may have run it. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -194,9 +194,11 @@
             EvacuationRefusal.send(exchange, call, group, context.network(), left, now);
             return;
         }
+        Optional<Duration> untilWeights =
+                refusal.hasNoTarget() ? untilWeightsExpected(now) : Optional.empty();
         Duration untilSlot =
                 refusal.hasNoTarget()
-                        ? TARGET_REGISTRATION_TIME
+                        ? untilWeights.orElse(TARGET_REGISTRATION_TIME)
                         : RateLimitedTargetFilter.untilCapacity(
                                 refusal.retryAfter(), usable, context.targets());
         Duration longest = ErrorResponses.maxRetryDelay(left);
@@ -212,6 +214,8 @@
             kind = Kind.NO_MEMORY;
             context.memory().onRefused(call.service(), call.tokens().orElse(0), usable, now);
             GatewayMetrics.recordMemoryRefusal("now");
+        } else if (untilWeights.isPresent()) {
+            kind = Kind.NO_WEIGHTS;
         }
         String detail = refusalDetail(refusal, now);
         finish(kind.label());
@@ -225,6 +229,12 @@
                 .isPresent();
     }
 
+    /** Time until the call may be sent, if no target is known to have the weights it expects. */
+    private Optional<Duration> untilWeightsExpected(long now) {
+        List<TargetLoad> all = context.targets().usableLoads(group, Set.of(), now);
+        return context.weights().untilRequest(call.expectedWeights(), all, now);
+    }
+
     /** Whether targets are usable, and the call fits into the memory of none. */
     private boolean fitsOnNone(List<TargetLoad> usable, long now) {
         return !usable.isEmpty()
@@ -372,15 +382,7 @@
         }
         boolean mayMove = call.route().mayRepeat() && runs + 1 < call.route().maxAttempts();
         boolean hasFreeTarget =
-                mayMove
-                        && context
-                                .memory()
-                                .filter(
-                                        this,
-                                        context.targets().usableLoads(group, triedTargets, now),
-                                        now)
-                                .stream()
-                                .anyMatch(TargetLoad::isFreeForOnline);
+                mayMove && movable(now).stream().anyMatch(TargetLoad::isFreeForOnline);
         if (hasFreeTarget) {
             if (current.hasPartialEvent()) {
                 context.targets().onCallFailed(target);
@@ -391,6 +393,12 @@
         }
     }
 
+    /** Loads of the targets that can take the call over from a stalled one. */
+    private List<TargetLoad> movable(long now) {
+        List<TargetLoad> usable = context.targets().usableLoads(group, triedTargets, now);
+        return context.weights().filter(this, context.memory().filter(this, usable, now), now);
+    }
+
     /** Starts the response to the caller unless an earlier attempt has done so. */
     void forwardHead(TargetAttempt from) {
         if (!isHeadForwarded) {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardingContext.java
@@ -24,6 +24,7 @@
  * @param headers selects the headers to forward
  * @param stallDetector finds targets that have stopped sending
  * @param memory limits of the tokens on targets
+ * @param weights leaves out targets that lack the weights that a call expects
  * @param candidateFilters narrow the targets of a call, in order
  */
 record ForwardingContext(
@@ -37,6 +38,7 @@
         ForwardedHeaders headers,
         StallDetector stallDetector,
         TargetMemoryLimits memory,
+        ExpectedWeights weights,
         List<CandidateFilter> candidateFilters) {
     private static final double NANOS_PER_SECOND = 1e9;
 
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -15,6 +15,8 @@
  * @param status HTTP status code
  * @param headers headers in order
  * @param callId id of the call that the response belongs to, empty if the target didn't state it
+ * @param targetId id of the target that sent the response, empty if it didn't state it
+ * @param weights version of the target's weights, empty if it didn't state it
  * @param isSigned whether it has the target's signature
  * @param isNotRun whether the target states that it didn't run the call
  * @param isLeaving whether the target states that it is about to stop
@@ -28,6 +30,8 @@
         int status,
         List<Map.Entry<String, String>> headers,
         Optional<String> callId,
+        Optional<String> targetId,
+        Optional<String> weights,
         boolean isSigned,
         boolean isNotRun,
         boolean isLeaving,
@@ -46,6 +50,8 @@
                     0,
                     List.of(),
                     Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
                     false,
                     false,
                     false,
@@ -69,6 +75,8 @@
                 status,
                 headers,
                 Optional.ofNullable(value(headers, names.callId())),
+                Optional.ofNullable(value(headers, names.targetId())),
+                Optional.ofNullable(value(headers, names.weights())),
                 value(headers, names.signature()) != null,
                 value(headers, names.notRun()) != null,
                 TRUE.equals(value(headers, names.leaving())),
@@ -88,13 +96,26 @@
         return status / STATUS_CLASS_SIZE == SUCCESS_CLASS;
     }
 
+    /**
+     * Whether the target rejected the call, since it isn't the one that the call was meant for, or
+     * since its weights have another version than the call expects.
+     *
+     * @return true if the call was not run for either reason
+     */
+    public boolean isRejected() {
+        return status == MISDIRECTED;
+    }
+
     /**
      * Whether the call reached another target than the one that it was meant for.
      *
+     * @param target id of the target that it was meant for
+     * @param expectsWeights whether the call expects a version of the weights, for which a response
+     *     that doesn't name its target may have rejected it
      * @return true if the address belongs to another target now
      */
-    public boolean isMisdirected() {
-        return status == MISDIRECTED;
+    public boolean isMisdirected(String target, boolean expectsWeights) {
+        return isRejected() && targetId.map(id -> !id.equals(target)).orElse(!expectsWeights);
     }
 
     /**
@@ -118,7 +139,7 @@
      * @return the reason, or empty if the response belongs to the call
      */
     public Optional<String> findMismatch(String expectedCallId) {
-        if (isMisdirected() || callId.isPresent() && callId.get().equals(expectedCallId)) {
+        if (isRejected() || callId.isPresent() && callId.get().equals(expectedCallId)) {
             return Optional.empty();
         }
         return Optional.of(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -107,7 +107,10 @@
         }
         head = ResponseHead.read(status, headers, forwardedCall.context().headers().names());
         recordProgress();
-        forwardedCall.context().targets().onResponseHead(target, head);
+        forwardedCall
+                .context()
+                .targets()
+                .onResponseHead(target, head, forwardedCall.call().expectedWeights());
         Optional<String> mismatch = head.findMismatch(forwardedCall.call().id());
         if (mismatch.isPresent()) {
             fail(mismatch.get());
@@ -206,10 +209,13 @@
             return;
         }
         recordProgress();
-        if (head.isMisdirected()) {
-            forwardedCall.context().targets().onMisdirected(target);
-            forwardedCall.onAttemptFailed(
-                    this, RunOutcome.NOT_RUN, "the address belongs to another target now");
+        Optional<String> rejection =
+                forwardedCall
+                        .context()
+                        .targets()
+                        .onRejected(target, head, forwardedCall.call().expectedWeights());
+        if (rejection.isPresent()) {
+            forwardedCall.onAttemptFailed(this, RunOutcome.NOT_RUN, rejection.get());
         } else if (head.isNotRun()) {
             forwardedCall.onAttemptFailed(
                     this, RunOutcome.NOT_RUN, "refused with status " + head.status());
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -17,6 +17,7 @@
 import org.sardinelift.core.load.LoadTracker;
 import org.sardinelift.core.load.TargetHealth;
 import org.sardinelift.core.load.TargetLoad;
+import org.sardinelift.core.load.WeightVersions;
 import org.sardinelift.core.load.WorkTime;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.plan.SoftwareVersion;
@@ -97,6 +98,7 @@
     public static final class Target {
         private final String incarnation;
         private final TargetHealth health;
+        private final WeightVersions weights = WeightVersions.create();
         private final Map<RequestTraits, Long> brokenAt = new HashMap<>();
         private RegisteredTarget registration;
         private boolean isMisdirected;
@@ -138,6 +140,15 @@
             return health;
         }
 
+        /**
+         * Which versions of the weights the target may have, as its responses show.
+         *
+         * @return the versions
+         */
+        public WeightVersions weights() {
+            return weights;
+        }
+
         /**
          * Bytes of a response were received from the target.
          *
@@ -417,7 +428,7 @@
     }
 
     private static void recordWorkTime(Target target, ResponseHead head) {
-        if (head.workTimePercent().isPresent() && !head.isMisdirected()) {
+        if (head.workTimePercent().isPresent()) {
             double multiple = head.workTimePercent().getAsInt() / PERCENT;
             target.health.workTime().onStated(multiple, System.nanoTime());
         }
@@ -445,12 +456,15 @@
      *
      * @param target the target
      * @param head the head
+     * @param expectedWeights version of the weights that the call expects, empty if any will do
      */
-    public void onResponseHead(Target target, ResponseHead head) {
+    public void onResponseHead(Target target, ResponseHead head, Optional<String> expectedWeights) {
+        if (head.isMisdirected(target.id(), expectedWeights.isPresent())) {
+            return;
+        }
         recordWorkTime(target, head);
-        if (!head.isLeaving()
-                || head.isMisdirected()
-                || !leavingIncarnations.add(Incarnation.of(target.registration))) {
+        head.weights().ifPresent(version -> target.weights.onStated(version, System.nanoTime()));
+        if (!head.isLeaving() || !leavingIncarnations.add(Incarnation.of(target.registration))) {
             return;
         }
         if (leavingIncarnations.size() > MAX_LEAVING_INCARNATIONS) {
@@ -499,11 +513,30 @@
     }
 
     /**
-     * A target rejected a call for another one: the address has been reassigned.
+     * Records why a target has rejected a call.
      *
-     * @param target the target
+     * @param target the target that the call was meant for
+     * @param head head of the response
+     * @param expectedWeights version of the weights that the call expects, empty if any will do
+     * @return the reason, or empty if the target has not rejected it
      */
-    public void onMisdirected(Target target) {
+    public Optional<String> onRejected(
+            Target target, ResponseHead head, Optional<String> expectedWeights) {
+        if (!head.isRejected()) {
+            return Optional.empty();
+        }
+        if (head.isMisdirected(target.id(), expectedWeights.isPresent())) {
+            onMisdirected(target);
+            return Optional.of("the address belongs to another target now");
+        }
+        expectedWeights.ifPresent(version -> target.weights.onRefused(version, System.nanoTime()));
+        return Optional.of(
+                "the target's weights have version %s instead of %s"
+                        .formatted(
+                                head.weights().orElse("unknown"), expectedWeights.orElse("any")));
+    }
+
+    private void onMisdirected(Target target) {
         target.isMisdirected = true;
         client.closeIdleConnections(target.registration.host(), target.registration.port());
         LogEvent.of("target.misdirected").with("target", target.id()).warn();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -27,6 +27,7 @@
     private final RoutePlan route;
     private final Target target;
     private final SoftwareVersion softwareVersion;
+    private final Optional<String> expectedWeights;
     private Runnable canceller = () -> {};
     private long startedAt;
     private long lastEventAt;
@@ -46,6 +47,7 @@
         this.route = route;
         this.target = target;
         this.softwareVersion = SoftwareVersion.of(target.registration());
+        this.expectedWeights = ItemTargets.expectedWeights(item().item(), runner.headers());
     }
 
     ItemSchedule.ScheduledItem scheduledItem() {
@@ -109,7 +111,7 @@
         head = ResponseHead.read(status, headers, runner.headers());
         long now = System.nanoTime();
         target.onBytesReceived(now);
-        runner.table().onResponseHead(target, head);
+        runner.table().onResponseHead(target, head, expectedWeights);
         Optional<String> mismatch = head.findMismatch(item().item().id());
         if (mismatch.isPresent()) {
             fail(mismatch.get());
@@ -160,9 +162,9 @@
         if (!runner.isRunning(this)) {
             return;
         }
-        if (head.isMisdirected()) {
-            runner.table().onMisdirected(target);
-            runner.onRefused(this, "another target has the address");
+        Optional<String> rejection = runner.table().onRejected(target, head, expectedWeights);
+        if (rejection.isPresent()) {
+            runner.onRefused(this, rejection.get());
         } else if (head.isNotRun()) {
             runner.onRefused(this, "refused with status " + head.status());
         } else if (parser == null) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -30,6 +30,7 @@
 import org.sardinelift.core.plan.ServingPlan;
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.HeaderNames;
+import org.sardinelift.gateway.call.ExpectedWeights;
 import org.sardinelift.gateway.call.TargetMemoryLimits;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.call.TargetTable.Target;
@@ -86,6 +87,7 @@
     private final JobAssignment assignment;
     private final ItemTargets itemTargets;
     private final TargetMemoryLimits memory;
+    private final ExpectedWeights weights;
     private final ItemSchedule schedule =
             ItemSchedule.of(INITIAL_EVENTS_PER_ITEM, INITIAL_EVENT_INTERVAL, RESULT_DELIVERY_TIME);
     private final BatchSlotSelector slotSelector;
@@ -117,6 +119,7 @@
         this.headers = headers;
         this.itemTargets = new ItemTargets(table, network, instance);
         this.memory = new TargetMemoryLimits(plans, network);
+        this.weights = new ExpectedWeights(table);
         this.slotSelector =
                 BatchSlotSelector.of(
                         zone, FREE_SLOT_SETTLE_TIME, OTHER_ZONE_SETTLE_TIME, NEXT_START_DELAY);
@@ -368,19 +371,19 @@
         }
         itemTargets.startOverItemsOfGoneVersions(
                 scheduledItems(currentPlan.plan()), currentPlan.plan());
-        Set<TargetGroup> busyGroups = new HashSet<>();
-        Optional<ItemSchedule.ScheduledItem> next = selectNext(currentPlan.plan(), busyGroups, now);
+        Set<SlotDemand> unmetDemands = new HashSet<>();
+        Optional<ItemSchedule.ScheduledItem> next =
+                selectNext(currentPlan.plan(), unmetDemands, now);
         while (next.isPresent()) {
-            tryStart(next.get(), currentPlan.plan(), now).ifPresent(busyGroups::add);
-            next = selectNext(currentPlan.plan(), busyGroups, now);
+            tryStart(next.get(), currentPlan.plan(), now).ifPresent(unmetDemands::add);
+            next = selectNext(currentPlan.plan(), unmetDemands, now);
         }
     }
 
     private Optional<ItemSchedule.ScheduledItem> selectNext(
-            ServingPlan plan, Set<TargetGroup> busyGroups, long now) {
+            ServingPlan plan, Set<SlotDemand> unmetDemands, long now) {
         return schedule.selectNext(
-                scheduledItems(plan)
-                        .filter(each -> !busyGroups.contains(itemTargets.group(each, plan))),
+                scheduledItems(plan).filter(each -> !unmetDemands.contains(slotDemand(each, plan))),
                 now,
                 System.currentTimeMillis());
     }
@@ -409,16 +412,31 @@
                                                 + route.completionObjective().toMillis()));
     }
 
-    /** Starts an item if there is a slot for it; otherwise returns the targets that have none. */
-    private Optional<TargetGroup> tryStart(
+    /**
+     * What an item needs of the target that runs it. Items with the same demand wait together.
+     *
+     * @param group the targets that may run the item
+     * @param weights version of the weights that the target must have, empty if any will do
+     */
+    private record SlotDemand(TargetGroup group, Optional<String> weights) {}
+
+    private SlotDemand slotDemand(ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
+        return new SlotDemand(
+                itemTargets.group(scheduled, plan),
+                ItemTargets.expectedWeights(scheduled.item().item(), headers));
+    }
+
+    /** Starts an item if there is a slot for it; otherwise returns what no slot satisfies. */
+    private Optional<SlotDemand> tryStart(
             ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
-        TargetGroup group = itemTargets.group(scheduled, plan);
+        SlotDemand demand = slotDemand(scheduled, plan);
+        TargetGroup group = demand.group();
         Optional<TargetLoad> slot = selectSlot(scheduled, group, now);
         if (slot.isEmpty() && group.softwareVersion().isPresent()) {
             slot = selectSlotToStartOver(scheduled, plan, now);
         }
         if (slot.isEmpty()) {
-            return Optional.of(group);
+            return Optional.of(demand);
         }
         RoutePlan route =
                 plan.route(scheduled.job().spec().host(), scheduled.item().item().path()).get();
@@ -434,7 +452,7 @@
                 memory.fitting(
                         group.service(),
                         scheduled.item().item().countedTokens(),
-                        itemTargets.offered(table.usableLoads(group, Set.of(), now), now),
+                        itemTargets.offered(withExpectedWeights(scheduled, group, now), now),
                         now);
         Optional<TargetLoad> slot = slotSelector.select(loads, now);
         if (slot.isEmpty() && slotSelector.hasFreeSlot(loads)) {
@@ -443,6 +461,14 @@
         return slot;
     }
 
+    private List<TargetLoad> withExpectedWeights(
+            ItemSchedule.ScheduledItem scheduled, TargetGroup group, long now) {
+        return weights.matching(
+                ItemTargets.expectedWeights(scheduled.item().item(), headers),
+                table.usableLoads(group, Set.of(), now),
+                now);
+    }
+
     /** Finds a slot at another version for an item that has waited too long for its own. */
     private Optional<TargetLoad> selectSlotToStartOver(
             ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
@@ -4,15 +4,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.sardinelift.core.joblog.ItemProgress;
 import org.sardinelift.core.joblog.ItemSchedule.ScheduledItem;
+import org.sardinelift.core.joblog.JobItem;
 import org.sardinelift.core.load.RateLimitedTargetSample;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.ServingPlan;
 import org.sardinelift.core.plan.SoftwareVersion;
 import org.sardinelift.core.plan.TargetGroup;
+import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.runtime.log.LogEvent;
@@ -77,6 +80,14 @@
                                                 .equals(serviceGroup(scheduled, plan).service()));
     }
 
+    /** Version of the weights that an item's target must have, empty if any will do. */
+    static Optional<String> expectedWeights(JobItem item, HeaderNames headers) {
+        return item.headers().entrySet().stream()
+                .filter(header -> header.getKey().equalsIgnoreCase(headers.expectedWeights()))
+                .map(Map.Entry::getValue)
+                .findFirst();
+    }
+
     /** Shows cold targets as not free unless it is this worker's turn to start an item there. */
     List<TargetLoad> offered(List<TargetLoad> loads, long now) {
         if (network.rateLimits().limits().isEmpty()) {
