Bound the stored results and documents of jobs in bytes, and don't retry what the store rejects

Cause: a record was bounded to 400,000 characters, the store's values in bytes. A record over the bound was refused with "not written; retry after a pause" and written again as it was every 200 ms, so that no later result of the job could pass it. Such a refusal also counted as an outage of the store.

Change: StoredText measures a text as it is stored, quoted twice and in the longest form that an encoder may choose. It bounds records, parts of documents (which no longer split a surrogate pair) and pages of results. A result that is larger than a record by itself is recorded in parts. A write that is refused for its content (400, 413, 422 or over the client's own bound) is told apart: a record is halved until it fits, a submission is refused at once, and the store stays available; both are logged and counted (sardinelift_worker_rejected_writes_total). Zones in reports are bounded in bytes too.

--- a/core/src/main/java/org/sardinelift/core/joblog/JobProgress.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/JobProgress.java
@@ -10,11 +10,15 @@
 
 /** A job with the results of the records that this worker knows. Not thread-safe. */
 public final class JobProgress {
+    /** Bytes of an entry in addition to its texts: names of fields, and their quotes escaped. */
+    private static final int ENTRY_BYTES = 200;
+
     private final JobSpec spec;
     private final Map<String, JobItem> items = new HashMap<>();
     private final Map<String, ItemProgress> open = new LinkedHashMap<>();
     private final List<ItemResult> results = new ArrayList<>();
     private final Map<String, ItemResult> unrecordedResults = new LinkedHashMap<>();
+    private final Map<String, Map<String, StringBuilder>> recordedParts = new HashMap<>();
     private int nextRecord;
     private boolean isEnded;
 
@@ -70,10 +74,10 @@
      * Applies a record.
      *
      * @param number number of the record
-     * @param recorded results in the record
+     * @param recorded entries of the record
      * @return whether its results were added
      */
-    public ApplyResult applyRecord(int number, List<ItemResult> recorded) {
+    public ApplyResult applyRecord(int number, List<RecordEntry> recorded) {
         if (number < nextRecord) {
             return ApplyResult.DUPLICATE;
         }
@@ -81,15 +85,36 @@
             return ApplyResult.GAP;
         }
         nextRecord++;
-        recorded.forEach(
-                result -> {
-                    results.add(result);
-                    open.remove(result.itemId());
-                    unrecordedResults.remove(result.itemId());
-                });
+        recorded.forEach(this::applyEntry);
         return ApplyResult.APPLIED;
     }
 
+    private void applyEntry(RecordEntry entry) {
+        ItemResult result = entry.result();
+        String id = result.itemId();
+        if (!entry.series().isEmpty() && !open.containsKey(id)) {
+            // Another worker has recorded the item between the parts.
+            return;
+        }
+        if (!entry.isLast()) {
+            recordedParts
+                    .computeIfAbsent(id, key -> new HashMap<>())
+                    .computeIfAbsent(entry.series(), key -> new StringBuilder())
+                    .append(result.output());
+            return;
+        }
+        String output = recordedPart(id, entry.series()) + result.output();
+        results.add(new ItemResult(id, result.outcome(), output));
+        open.remove(id);
+        unrecordedResults.remove(id);
+        recordedParts.remove(id);
+    }
+
+    private String recordedPart(String itemId, String series) {
+        StringBuilder part = recordedParts.getOrDefault(itemId, Map.of()).get(series);
+        return part == null ? "" : part.toString();
+    }
+
     /**
      * Counts the filled positions.
      *
@@ -103,16 +128,16 @@
      * Returns results from a position on.
      *
      * @param after first position
-     * @param maxChars most characters of output in total; the first result is returned whatever its
-     *     length
+     * @param maxBytes most bytes of {@link StoredText} in total; the first result is returned
+     *     whatever its size
      * @return the results, none if no position from there on is filled
      */
-    public List<ItemResult> results(int after, int maxChars) {
+    public List<ItemResult> results(int after, long maxBytes) {
         List<ItemResult> page = new ArrayList<>();
-        int chars = 0;
+        long bytes = 0;
         for (int i = Math.max(0, after); i < results.size(); i++) {
-            chars += results.get(i).output().length();
-            if (!page.isEmpty() && chars > maxChars) {
+            bytes += bytes(results.get(i));
+            if (!page.isEmpty() && bytes > maxBytes) {
                 break;
             }
             page.add(results.get(i));
@@ -155,23 +180,38 @@
     }
 
     /**
-     * Returns results that wait to be recorded.
+     * Returns the entries of the next record: results that wait to be recorded, in the order in
+     * which the items ended. A result that is larger than a record is recorded in parts.
      *
-     * @param maxChars most characters of output in total; the first result is returned whatever its
-     *     length
-     * @return the results in the order in which the items ended
+     * @param maxBytes most bytes of {@link StoredText} in total
+     * @param series marks the parts that this process records
+     * @return the entries, none if no result waits
      */
-    public List<ItemResult> unrecordedResults(int maxChars) {
-        List<ItemResult> batch = new ArrayList<>();
-        int chars = 0;
+    public List<RecordEntry> nextEntries(long maxBytes, String series) {
+        List<RecordEntry> entries = new ArrayList<>();
+        long bytes = 0;
         for (ItemResult result : unrecordedResults.values()) {
-            chars += result.output().length();
-            if (!batch.isEmpty() && chars > maxChars) {
-                break;
+            bytes += bytes(result);
+            if (bytes > maxBytes) {
+                return entries.isEmpty() ? List.of(nextPart(result, maxBytes, series)) : entries;
             }
-            batch.add(result);
+            entries.add(RecordEntry.whole(result));
         }
-        return batch;
+        return entries;
+    }
+
+    private RecordEntry nextPart(ItemResult result, long maxBytes, String series) {
+        String output = result.output();
+        int begin = recordedPart(result.itemId(), series).length();
+        long left = Math.max(maxBytes / 2, maxBytes - bytes(result) + StoredText.bytes(output));
+        int end = begin < output.length() ? StoredText.partEnd(output, begin, left) : begin;
+        ItemResult part =
+                new ItemResult(result.itemId(), result.outcome(), output.substring(begin, end));
+        return RecordEntry.part(part, series, end == output.length());
+    }
+
+    private static long bytes(ItemResult result) {
+        return StoredText.bytes(result.output()) + StoredText.bytes(result.itemId()) + ENTRY_BYTES;
     }
 
     /**
--- a/core/src/test/java/org/sardinelift/core/joblog/JobRecordsPropertyTest.java
+++ b/core/src/test/java/org/sardinelift/core/joblog/JobRecordsPropertyTest.java
@@ -5,9 +5,11 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
@@ -16,17 +18,23 @@
 /**
  * Several workers run one job with a store that creates each record once but loses answers and
  * applies calls late. Guards against an item with two positions or none, and against results that
- * change after a reader has seen them.
+ * change after a reader has seen them, or that are joined of parts by several workers.
  */
 class JobRecordsPropertyTest {
     private static final int ITEMS = 12;
 
     /** Store that creates each record once; late calls wait until they take effect. */
     private static final class Store {
-        private final Map<Integer, List<ItemResult>> records = new TreeMap<>();
+        private final Map<Integer, List<RecordEntry>> records = new TreeMap<>();
         private final List<Runnable> late = new ArrayList<>();
+        private final Map<JobProgress, String> series = new IdentityHashMap<>();
+        private final Set<String> outputs = new HashSet<>();
 
-        boolean create(int number, List<ItemResult> results) {
+        String series(JobProgress worker) {
+            return series.computeIfAbsent(worker, key -> "s" + series.size());
+        }
+
+        boolean create(int number, List<RecordEntry> results) {
             return records.putIfAbsent(number, results) == null;
         }
     }
@@ -50,7 +58,7 @@
         Store store = new Store();
         List<JobProgress> workers = new ArrayList<>(List.of(job(), job(), job()));
         List<String> seen = new ArrayList<>();
-        for (int step = 0; step < 4_000 && !workers.get(0).isClosed(); step++) {
+        for (int step = 0; step < 20_000 && !workers.get(0).isClosed(); step++) {
             int index = random.nextInt(workers.size());
             step(random, store, workers, index);
             assertSeenUnchanged(workers.get(index), seen);
@@ -63,6 +71,8 @@
                 reader.results(0, Integer.MAX_VALUE).stream().map(ItemResult::itemId).toList();
         assertEquals(ITEMS, positions.size());
         assertEquals(ITEMS, new HashSet<>(positions).size());
+        reader.results(0, Integer.MAX_VALUE)
+                .forEach(result -> assertTrue(store.outputs.contains(result.output())));
     }
 
     private static void step(Random random, Store store, List<JobProgress> workers, int index) {
@@ -72,7 +82,11 @@
                 List<ItemProgress> open = worker.openItems().toList();
                 if (!open.isEmpty()) {
                     ItemProgress item = open.get(random.nextInt(open.size()));
-                    worker.onResult(ItemResult.completed(item.item().id(), "by worker " + index));
+                    String output =
+                            ("by worker " + index + ", " + store.outputs.size() + ";")
+                                    .repeat(1 + random.nextInt(20));
+                    store.outputs.add(output);
+                    worker.onResult(ItemResult.completed(item.item().id(), output));
                 }
             }
             case 1, 2 -> record(random, store, worker);
@@ -98,7 +112,8 @@
     }
 
     private static void record(Random random, Store store, JobProgress worker) {
-        List<ItemResult> batch = worker.unrecordedResults(1 + random.nextInt(40));
+        List<RecordEntry> batch =
+                worker.nextEntries(100 + random.nextInt(900), store.series(worker));
         if (batch.isEmpty()) {
             return;
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/StoreAvailability.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/StoreAvailability.java
@@ -46,7 +46,8 @@
      */
     public void onResult(WriteResult result) {
         if (result instanceof WriteResult.NotWritten failed) {
-            updateAvailability(failed.reason());
+            // A store that rejects the content of a write is available.
+            updateAvailability(failed.isRejected() ? "" : failed.reason());
         } else {
             updateAvailability(result instanceof WriteResult.Unclear failed ? failed.reason() : "");
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobCodec.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobCodec.java
@@ -8,11 +8,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.sardinelift.core.joblog.ItemResult;
+import org.sardinelift.core.joblog.RecordEntry;
 
 /** Encodes and decodes the stored objects of a job. */
 final class JobCodec {
-    /** Below the store's bound of a value, since quoting makes a document longer. */
-    static final int MAX_DOCUMENT_PART_CHARS = 400_000;
+    /** Largest size of a part of a document, and of the results of a record, bytes as stored. */
+    static final int MAX_PART_BYTES = 400_000;
 
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
@@ -53,31 +54,39 @@
                 node.path("document").asText());
     }
 
-    static String encodeRecord(List<ItemResult> results) {
+    static String encodeRecord(List<RecordEntry> entries) {
         ObjectNode root = MAPPER.createObjectNode();
         ArrayNode array = root.putArray("results");
-        results.forEach(
-                result ->
-                        array.addObject()
-                                .put("id", result.itemId())
-                                .put("outcome", result.outcome().name())
-                                .put("output", result.output()));
+        entries.forEach(entry -> encodeEntry(entry, array.addObject()));
         return root.toString();
     }
 
-    static List<ItemResult> decodeRecord(String value) {
-        List<ItemResult> results = new ArrayList<>();
+    private static void encodeEntry(RecordEntry entry, ObjectNode node) {
+        ItemResult result = entry.result();
+        node.put("id", result.itemId())
+                .put("outcome", result.outcome().name())
+                .put("output", result.output());
+        if (!entry.series().isEmpty()) {
+            node.put("series", entry.series()).put("last", entry.isLast());
+        }
+    }
+
+    static List<RecordEntry> decodeRecord(String value) {
+        List<RecordEntry> entries = new ArrayList<>();
         parseJson(value)
                 .path("results")
                 .forEach(
                         node ->
-                                results.add(
-                                        new ItemResult(
-                                                node.path("id").asText(),
-                                                ItemResult.Outcome.valueOf(
-                                                        node.path("outcome").asText()),
-                                                node.path("output").asText())));
-        return results;
+                                entries.add(
+                                        new RecordEntry(
+                                                new ItemResult(
+                                                        node.path("id").asText(),
+                                                        ItemResult.Outcome.valueOf(
+                                                                node.path("outcome").asText()),
+                                                        node.path("output").asText()),
+                                                node.path("series").asText(),
+                                                node.path("last").asBoolean(true))));
+        return entries;
     }
 
     private static JsonNode parseJson(String value) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
@@ -9,9 +9,9 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.sardinelift.core.joblog.ItemResult;
 import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.core.joblog.JobSpec;
+import org.sardinelift.core.joblog.RecordEntry;
 import org.sardinelift.objects.StoredObject;
 import org.sardinelift.runtime.log.LogEvent;
 
@@ -175,8 +175,8 @@
     }
 
     /** This worker has written a record. */
-    void onRecordWritten(JobProgress job, int number, List<ItemResult> results) {
-        if (job.applyRecord(number, results) == JobProgress.ApplyResult.APPLIED) {
+    void onRecordWritten(JobProgress job, int number, List<RecordEntry> entries) {
+        if (job.applyRecord(number, entries) == JobProgress.ApplyResult.APPLIED) {
             changeListener.accept(job);
         }
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -43,7 +43,7 @@
     /** Time in which some waiting items finish. */
     private static final Duration OVER_LIMIT_RETRY_AFTER = Duration.ofSeconds(1);
 
-    private static final int MAX_PAGE_CHARS = 700_000;
+    private static final int MAX_PAGE_BYTES = 700_000;
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int BAD_REQUEST = 400;
@@ -474,7 +474,7 @@
     }
 
     private void respondWithPage(HttpExchange exchange, JobProgress job, int firstPosition) {
-        List<ItemResult> page = job.results(firstPosition, MAX_PAGE_CHARS);
+        List<ItemResult> page = job.results(firstPosition, MAX_PAGE_BYTES);
         int total = job.spec().items().size();
         exchange.respond(
                 OK,
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobStorage.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobStorage.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.sardinelift.core.joblog.ItemResult;
+import org.sardinelift.core.joblog.RecordEntry;
+import org.sardinelift.core.joblog.StoredText;
 import org.sardinelift.gateway.feed.StoreAvailability;
 import org.sardinelift.objects.ObjectKey;
 import org.sardinelift.objects.ObjectStore;
 import org.sardinelift.objects.ReadResult;
 import org.sardinelift.objects.WriteResult;
+import org.sardinelift.runtime.log.LogEvent;
 
 /** Creates and reads the objects of jobs. On the event loop. */
 final class JobStorage {
@@ -78,12 +80,13 @@
 
     private static List<String> split(String document) {
         List<String> documentParts = new ArrayList<>();
-        int from = 0;
-        while (document.length() - from > JobCodec.MAX_DOCUMENT_PART_CHARS) {
-            documentParts.add(document.substring(from, from + JobCodec.MAX_DOCUMENT_PART_CHARS));
-            from += JobCodec.MAX_DOCUMENT_PART_CHARS;
-        }
-        documentParts.add(document.substring(from));
+        int begin = 0;
+        int end = 0;
+        do {
+            begin = end;
+            end = StoredText.partEnd(document, begin, JobCodec.MAX_PART_BYTES);
+            documentParts.add(document.substring(begin, end));
+        } while (end < document.length());
         return documentParts;
     }
 
@@ -112,9 +115,16 @@
                             boolean exists =
                                     result instanceof WriteResult.Written
                                             || result instanceof WriteResult.Conflict;
+                            boolean isRejected =
+                                    result instanceof WriteResult.NotWritten failed
+                                            && failed.isRejected();
+                            if (isRejected) {
+                                logRejected(key, ((WriteResult.NotWritten) result).reason());
+                            }
                             if (exists) {
                                 done.complete(CreateResult.EXISTS);
-                            } else if (System.nanoTime() + RETRY_DELAY.toNanos() >= deadline) {
+                            } else if (isRejected
+                                    || System.nanoTime() + RETRY_DELAY.toNanos() >= deadline) {
                                 done.complete(
                                         isUnclear
                                                 ? CreateResult.UNCLEAR
@@ -129,12 +139,20 @@
                         loop);
     }
 
+    private static void logRejected(ObjectKey key, String reason) {
+        WorkerMetrics.countRejectedWrite();
+        LogEvent.of("store.value_rejected")
+                .with("object", key.name())
+                .with("reason", reason)
+                .error();
+    }
+
     /** Creates a record under its number, without retries. */
-    CompletableFuture<WriteResult> createRecord(String job, int number, List<ItemResult> results) {
+    CompletableFuture<WriteResult> createRecord(String job, int number, List<RecordEntry> entries) {
         return store.write(
                         new JobObject.Record(job, number).key(),
                         ObjectStore.ABSENT_VERSION,
-                        JobCodec.encodeRecord(results))
+                        JobCodec.encodeRecord(entries))
                 .thenApplyAsync(
                         result -> {
                             storeAvailability.onResult(result);
--- a/gateway/src/main/java/org/sardinelift/gateway/job/WorkerMetrics.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/WorkerMetrics.java
@@ -25,6 +25,11 @@
                     .help("Submissions of jobs, by what became of them")
                     .labelNames("stored")
                     .register();
+    private static final Counter REJECTED_WRITES =
+            Counter.builder()
+                    .name("sardinelift_worker_rejected_writes_total")
+                    .help("Writes of jobs and results that the store rejected for their content")
+                    .register();
     private static final Histogram RESULT_AGE =
             Histogram.builder()
                     .name("sardinelift_worker_result_age_seconds")
@@ -46,6 +51,10 @@
         SUBMISSIONS.labelValues(stored).inc();
     }
 
+    static void countRejectedWrite() {
+        REJECTED_WRITES.inc();
+    }
+
     static void observeResultAge(long ageMs) {
         RESULT_AGE.observe(ageMs / MILLIS_PER_SECOND);
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/peer/EvacuationReports.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/peer/EvacuationReports.java
@@ -1,5 +1,6 @@
 package org.sardinelift.gateway.peer;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -27,7 +28,7 @@
  */
 public final class EvacuationReports implements ReportSection {
     /** Names that exceed this are left out of reports, which hold at most 60 KB in all. */
-    private static final int MAX_REPORTED_CHARS = 8_000;
+    private static final int MAX_REPORTED_BYTES = 8_000;
 
     /** Older lists are reported and taken as this old, so that sums of times can't overflow. */
     private static final Duration MAX_AGE = Duration.ofDays(1);
@@ -217,8 +218,8 @@
         state.listToReport(isFull, peers, now)
                 .filter(
                         list ->
-                                list.zones().stream().mapToInt(String::length).sum()
-                                        <= MAX_REPORTED_CHARS)
+                                list.zones().stream().mapToInt(EvacuationReports::bytes).sum()
+                                        <= MAX_REPORTED_BYTES)
                 .ifPresent(
                         list ->
                                 report.setEvacuations(
@@ -231,6 +232,10 @@
                                                         MAX_AGE.toMillis()))));
     }
 
+    private static int bytes(String zone) {
+        return zone.getBytes(StandardCharsets.UTF_8).length;
+    }
+
     @Override
     public void onReport(Peer peer, PeerReport report, long now) {
         if (!report.isSetEvacuations()) {
--- a/objects/src/main/java/org/sardinelift/objects/DefaultObjectDialect.java
+++ b/objects/src/main/java/org/sardinelift/objects/DefaultObjectDialect.java
@@ -72,7 +72,7 @@
                         || answer.status() == TOO_MANY_REQUESTS
                         || answer.status() < FIRST_SERVER_ERROR;
         String reason = ObjectDialect.refusalReason(answer);
-        return notApplied ? new WriteResult.NotWritten(reason) : new WriteResult.Unclear(reason);
+        return notApplied ? ObjectDialect.notWritten(answer) : new WriteResult.Unclear(reason);
     }
 
     @Override
--- a/objects/src/main/java/org/sardinelift/objects/HttpObjectStore.java
+++ b/objects/src/main/java/org/sardinelift/objects/HttpObjectStore.java
@@ -85,7 +85,7 @@
         int bytes = value.getBytes(StandardCharsets.UTF_8).length;
         if (bytes > MAX_VALUE_BYTES) {
             return CompletableFuture.completedFuture(
-                    new WriteResult.NotWritten(
+                    WriteResult.NotWritten.rejected(
                             "value of "
                                     + ObjectPath.of(key)
                                     + " is too large: "
--- a/objects/src/main/java/org/sardinelift/objects/ObjectDialect.java
+++ b/objects/src/main/java/org/sardinelift/objects/ObjectDialect.java
@@ -11,6 +11,8 @@
  * parsers throw {@link IllegalArgumentException} if a response is malformed.
  */
 public interface ObjectDialect {
+    /** Malformed, too large, unprocessable. */
+    Set<Integer> REJECTED_STATUSES = Set.of(400, 413, 422);
 
     /**
      * One HTTP request.
@@ -141,6 +143,17 @@
      */
     InstancesResult parseInstances(JsonNode body);
 
+    /**
+     * Parses the response to a write that took no effect.
+     *
+     * @param answer response of the store
+     * @return the result, rejected if the store won't accept the same content later either
+     */
+    static WriteResult.NotWritten notWritten(BufferedHttpResponse answer) {
+        return new WriteResult.NotWritten(
+                refusalReason(answer), REJECTED_STATUSES.contains(answer.status()));
+    }
+
     /**
      * Describes why the store refused a call.
      *
--- a/objects/src/main/java/org/sardinelift/objects/WriteResult.java
+++ b/objects/src/main/java/org/sardinelift/objects/WriteResult.java
@@ -26,9 +26,30 @@
     record Unclear(String reason) implements WriteResult {}
 
     /**
-     * The write did not take effect; retry after a pause.
+     * The write did not take effect; retry after a pause, unless it was rejected.
      *
      * @param reason what went wrong
+     * @param isRejected whether the store rejects the content of the write, so that it must be
+     *     changed before a retry
      */
-    record NotWritten(String reason) implements WriteResult {}
+    record NotWritten(String reason, boolean isRejected) implements WriteResult {
+        /**
+         * A write that may succeed later.
+         *
+         * @param reason what went wrong
+         */
+        public NotWritten(String reason) {
+            this(reason, false);
+        }
+
+        /**
+         * A write that the store rejects for its content.
+         *
+         * @param reason what is wrong with it
+         * @return the result
+         */
+        public static NotWritten rejected(String reason) {
+            return new NotWritten(reason, true);
+        }
+    }
 }
