Leave it to the sender of a call whether it may run twice

Cause: the HTTP client sent a GET or HEAD again by itself over a new connection if a kept one was lost without a response, whatever the kind of its route. If the new connection was refused, the call was reported as not run, though the first send may have run, so that it went on to another target.

Change: HttpCall.isRepeatable, false unless the sender sets it. A call that was sent before and whose next connection fails may have run.

--- a/companion/src/main/java/org/sardinelift/companion/target/TargetControlClient.java
+++ b/companion/src/main/java/org/sardinelift/companion/target/TargetControlClient.java
@@ -70,7 +70,7 @@
         if (!settings.isModelEngine()) {
             return CompletableFuture.completedFuture(configured);
         }
-        return client.call(call("GET", "/v1/models", Map.of(), NO_BODY))
+        return client.call(call("GET", "/v1/models", Map.of(), NO_BODY).repeatable())
                 .handle(
                         (response, error) ->
                                 error == null && response.status() == OK
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -350,7 +350,9 @@
                 headers,
                 exchange.body(),
                 timeLeft(now).plusMillis(1),
-                context.maxConnectionIdle(call.route()));
+                context.maxConnectionIdle(call.route()),
+                // This class resends calls: it counts runs, and knows what may be repeated.
+                false);
     }
 
     /** Checks whether the target has been silent for too long. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
@@ -111,7 +111,8 @@
             workersTried++;
             HttpCall call =
                     HttpCall.of(worker.host(), worker.port(), method, uri, Map.of(), body, timeout);
-            client.call(call).whenComplete((answer, error) -> onAnswer(worker, answer, error));
+            client.call(method.equals("GET") ? call.repeatable() : call)
+                    .whenComplete((answer, error) -> onAnswer(worker, answer, error));
         }
 
         private void refuse() {
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PeerSnapshots.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PeerSnapshots.java
@@ -219,12 +219,13 @@
     private CompletableFuture<BufferedHttpResponse> fetch(Peer peer, String path) {
         return client.call(
                 HttpCall.of(
-                        peer.host(),
-                        peer.port(),
-                        "GET",
-                        path,
-                        Map.of(),
-                        new byte[0],
-                        CALL_TIMEOUT));
+                                peer.host(),
+                                peer.port(),
+                                "GET",
+                                path,
+                                Map.of(),
+                                new byte[0],
+                                CALL_TIMEOUT)
+                        .repeatable());
     }
 }
--- a/http/src/main/java/org/sardinelift/http/ClientExchange.java
+++ b/http/src/main/java/org/sardinelift/http/ClientExchange.java
@@ -26,6 +26,7 @@
     private volatile @Nullable Channel channel;
     private volatile boolean isCancelled;
     private boolean isPooled;
+    private boolean wasSent;
     private boolean isHeadReceived;
     private boolean isKeepAlive = true;
     private boolean isWritten;
@@ -60,7 +61,7 @@
         isPooled = fromPool;
         if (isCancelled) {
             target.close();
-            fail(new CancellationException("the call was cancelled before it was sent"), false);
+            fail(new CancellationException("the call was cancelled before it was sent"), wasSent);
             return;
         }
         if (fromPool && !target.isActive()) {
@@ -69,6 +70,7 @@
         }
         target.pipeline().get(ClientConnection.class).attach(this, call.method().equals("HEAD"));
         isWritten = false;
+        wasSent = true;
         target.writeAndFlush(request())
                 .addListener(
                         future -> {
@@ -173,12 +175,17 @@
         listener.onEnd();
     }
 
-    /** Called when the connection is lost; retries the call only if its method is safe. */
+    /** No connection could be opened. The call may have run over an earlier one. */
+    void onConnectFailed(Throwable cause) {
+        fail(cause, wasSent);
+    }
+
+    /** The connection is lost: sends a repeatable call again if the peer closed an idle one. */
     void onConnectionLost(Throwable cause) {
         if (isDone) {
             return;
         }
-        if (isPooled && !isHeadReceived && !isCancelled && isMethodSafe()) {
+        if (isPooled && !isHeadReceived && !isCancelled && call.isRepeatable()) {
             isPooled = false;
             client.connect(call, this);
             return;
@@ -186,11 +193,7 @@
         fail(cause, true);
     }
 
-    private boolean isMethodSafe() {
-        return call.method().equals("GET") || call.method().equals("HEAD");
-    }
-
-    void fail(Throwable cause, boolean mayHaveRun) {
+    private void fail(Throwable cause, boolean mayHaveRun) {
         if (isDone) {
             return;
         }
--- a/http/src/main/java/org/sardinelift/http/HttpCall.java
+++ b/http/src/main/java/org/sardinelift/http/HttpCall.java
@@ -16,6 +16,8 @@
  * @param silenceTimeout maximum time without any byte of the response before the call fails
  * @param maxConnectionIdle longest idle time of a connection that the request may be sent over,
  *     since the peer may be about to close an idle one; 0 for a new connection
+ * @param isRepeatable whether the request may run twice, so that it is sent again over a new
+ *     connection if an idle one is lost without a response; the method doesn't show that
  */
 public record HttpCall(
         String host,
@@ -25,7 +27,8 @@
         List<Map.Entry<String, String>> headers,
         byte[] body,
         Duration silenceTimeout,
-        Duration maxConnectionIdle) {
+        Duration maxConnectionIdle,
+        boolean isRepeatable) {
     /** No idle connection is too old, as far as the request is concerned. */
     private static final Duration UNBOUNDED = Duration.ofNanos(Long.MAX_VALUE);
 
@@ -58,7 +61,8 @@
                 headers,
                 body,
                 silenceTimeout,
-                needsFreshConnection ? Duration.ZERO : UNBOUNDED);
+                needsFreshConnection ? Duration.ZERO : UNBOUNDED,
+                false);
     }
 
     /**
@@ -84,4 +88,14 @@
         return new HttpCall(
                 host, port, method, uri, List.copyOf(headers.entrySet()), body, silence, false);
     }
+
+    /**
+     * Allows the request to run twice.
+     *
+     * @return the request, which is sent again if an idle connection is lost without a response
+     */
+    public HttpCall repeatable() {
+        return new HttpCall(
+                host, port, method, uri, headers, body, silenceTimeout, maxConnectionIdle, true);
+    }
 }
--- a/http/src/main/java/org/sardinelift/http/HttpClient.java
+++ b/http/src/main/java/org/sardinelift/http/HttpClient.java
@@ -192,7 +192,7 @@
                     if (future.isSuccess()) {
                         exchange.sendOver(connecting.channel(), false);
                     } else {
-                        exchange.fail(future.cause(), false);
+                        exchange.onConnectFailed(future.cause());
                     }
                 });
     }
--- a/http/src/test/java/org/sardinelift/http/HttpClientTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -269,7 +270,85 @@
                 List.of(),
                 new byte[0],
                 SILENCE_TIMEOUT,
-                maxIdle);
+                maxIdle,
+                false);
+    }
+
+    private HttpCall get() {
+        return HttpCall.of(
+                "127.0.0.1",
+                peer.getLocalPort(),
+                "GET",
+                "/a",
+                Map.of(),
+                new byte[0],
+                SILENCE_TIMEOUT);
+    }
+
+    /** Responds to one request, and closes the connection after it has read the next one. */
+    private void losesSecondAnswer(Socket socket, InputStream in) throws IOException {
+        readHead(in);
+        write(socket, COMPLETE_RESPONSE);
+        readHead(in);
+    }
+
+    private void respondOnce(Socket socket, InputStream in) throws IOException {
+        readHead(in);
+        write(socket, COMPLETE_RESPONSE);
+        in.read();
+    }
+
+    /** The client sent each GET again by itself, though it may have run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"GET", "HEAD", "POST"})
+    void aCallWhoseAnswerIsLostIsNotSentAgainForItsMethod(String method) {
+        serve(this::losesSecondAnswer, this::respondOnce);
+        HttpClient client = client(SILENCE_TIMEOUT);
+        client.call(call()).join();
+        HttpCall call =
+                HttpCall.of(
+                        "127.0.0.1",
+                        peer.getLocalPort(),
+                        method,
+                        "/a",
+                        Map.of(),
+                        new byte[0],
+                        SILENCE_TIMEOUT);
+
+        assertTrue(failure(client, call).mayHaveRun());
+        assertEquals(2, requests.size());
+    }
+
+    private static HttpCallException failure(HttpClient client, HttpCall call) {
+        CompletionException failed =
+                assertThrows(CompletionException.class, () -> client.call(call).join());
+        return assertInstanceOf(HttpCallException.class, failed.getCause());
+    }
+
+    @Test
+    void aRepeatableCallIsSentAgainIfAnIdleConnectionIsLost() {
+        serve(this::losesSecondAnswer, this::respondOnce);
+        HttpClient client = client(SILENCE_TIMEOUT);
+        client.call(call()).join();
+
+        assertEquals("ok", client.call(get().repeatable()).join().text());
+        assertEquals(3, requests.size());
+    }
+
+    /** The refused connection says nothing of the send before it. */
+    @Test
+    void aCallThatIsRefusedWhenSentAgainMayHaveRun() {
+        serve(
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, COMPLETE_RESPONSE);
+                    readHead(in);
+                    peer.close();
+                });
+        HttpClient client = client(SILENCE_TIMEOUT);
+        client.call(call()).join();
+
+        assertTrue(failure(client, get().repeatable()).mayHaveRun());
     }
 
     /** The peer would read the next request as the rest of the body. */
--- a/objects/src/main/java/org/sardinelift/objects/HttpObjectStore.java
+++ b/objects/src/main/java/org/sardinelift/objects/HttpObjectStore.java
@@ -207,7 +207,7 @@
 
     private CompletableFuture<BufferedHttpResponse> send(
             ObjectDialect.Request request, Duration idleTimeout) {
-        return client.call(
+        HttpCall call =
                 HttpCall.of(
                         host,
                         port,
@@ -217,7 +217,8 @@
                                 ? Map.of()
                                 : Map.of("content-type", "application/json"),
                         request.body(),
-                        idleTimeout));
+                        idleTimeout);
+        return client.call(request.method().equals("GET") ? call.repeatable() : call);
     }
 
     private static <T> T decode(
--- a/sardinectl/src/main/java/org/sardinelift/ctl/http/ApiClient.java
+++ b/sardinectl/src/main/java/org/sardinelift/ctl/http/ApiClient.java
@@ -123,14 +123,16 @@
             Address address, String method, String uri, Map<String, String> headers, String body) {
         Map<String, String> all = new HashMap<>(headers);
         all.putIfAbsent("content-type", "application/json");
-        return HttpCall.of(
-                address.host(),
-                address.port(),
-                method,
-                uri,
-                all,
-                body.getBytes(StandardCharsets.UTF_8),
-                timeout);
+        HttpCall call =
+                HttpCall.of(
+                        address.host(),
+                        address.port(),
+                        method,
+                        uri,
+                        all,
+                        body.getBytes(StandardCharsets.UTF_8),
+                        timeout);
+        return method.equals("GET") ? call.repeatable() : call;
     }
 
     private static CallResult unanswered(Throwable cause) {
