Filter the headers of batch items as those of calls are

Cause: ItemRunner copied all headers of an item and added its own. Only calls passed through ForwardedHeaders.

Change: one method builds the headers of calls and items: those received, without what concerns one connection and what the system sets, and the system's own, whatever the case of the letters. A job with an item whose id, path or headers HTTP doesn't allow is refused with 400; before, such an item threw on the event loop and was started again for good.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -58,7 +58,7 @@
                         network,
                         Placement.of(settings.node().zone(), settings.placementMargin()),
                         RetryAfterSchedule.create(),
-                        new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders()),
+                        ForwardedHeaders.of(adapter),
                         new StallDetector(loop),
                         memory,
                         weights,
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -332,22 +332,20 @@
 
     private HttpCall toHttpCall(Target target, long now) {
         var names = context.headers().names();
-        List<Map.Entry<String, String>> headers =
-                new ArrayList<>(context.headers().toTarget(exchange.headers()));
-        headers.removeIf(header -> header.getKey().equalsIgnoreCase(names.lastEventId()));
-        lastEventId.ifPresent(id -> headers.add(Map.entry(names.lastEventId(), Long.toString(id))));
+        List<Map.Entry<String, String>> own = new ArrayList<>();
+        lastEventId.ifPresent(id -> own.add(Map.entry(names.lastEventId(), Long.toString(id))));
         long leftMs = Math.max(1, timeLeft(now).toMillis());
-        headers.add(Map.entry(names.deadlineMs(), Long.toString(leftMs)));
-        headers.add(Map.entry(names.expectedTarget(), target.id()));
+        own.add(Map.entry(names.deadlineMs(), Long.toString(leftMs)));
+        own.add(Map.entry(names.expectedTarget(), target.id()));
         if (!call.team().isEmpty()) {
-            headers.add(Map.entry(names.team(), call.team()));
+            own.add(Map.entry(names.team(), call.team()));
         }
         return new HttpCall(
                 target.registration().host(),
                 target.registration().port(),
                 exchange.method(),
                 exchange.uri(),
-                headers,
+                context.headers().toTarget(exchange.headers(), own),
                 exchange.body(),
                 timeLeft(now).plusMillis(1),
                 context.maxConnectionIdle(call.route()),
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedHeaders.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedHeaders.java
@@ -11,9 +11,10 @@
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 import org.sardinelift.gateway.HeaderNames;
+import org.sardinelift.gateway.PlatformAdapter;
 
 /** Selects the request and response headers to forward (RFC 9110, section 7.6.1). */
-final class ForwardedHeaders {
+public final class ForwardedHeaders {
     private static final Set<String> HOP_BY_HOP =
             Set.of(
                     "connection",
@@ -34,24 +35,52 @@
     private final HeaderNames names;
     private final Set<String> notForwarded;
 
-    ForwardedHeaders(HeaderNames names, Set<String> reserved) {
+    private ForwardedHeaders(HeaderNames names, Set<String> reserved) {
         this.names = names;
         this.notForwarded = new HashSet<>(reserved);
         notForwarded.add(KEY_HEADER);
         notForwarded.add(lower(names.team()));
         notForwarded.add(lower(names.expectedTarget()));
         notForwarded.add(lower(names.deadlineMs()));
+        notForwarded.add(lower(names.lastEventId()));
     }
 
-    HeaderNames names() {
+    /**
+     * Creates the selection for a platform.
+     *
+     * @param adapter names the headers that only the system may send to targets
+     * @return the selection
+     */
+    public static ForwardedHeaders of(PlatformAdapter adapter) {
+        return new ForwardedHeaders(adapter.headerNames(), adapter.reservedHeaders());
+    }
+
+    /**
+     * Names of the headers that the platform uses.
+     *
+     * @return the names
+     */
+    public HeaderNames names() {
         return names;
     }
 
-    /** Request headers that are forwarded to a target unchanged. */
-    List<Map.Entry<String, String>> toTarget(Iterable<Map.Entry<String, String>> received) {
-        Set<String> hopByHopNames = hopByHop(received);
-        return select(
-                received, name -> !hopByHopNames.contains(name) && !notForwarded.contains(name));
+    /**
+     * Headers of a request to a target.
+     *
+     * @param received the caller's headers, of which those are forwarded that neither concern only
+     *     one connection nor are the system's to set
+     * @param own headers that the system sets
+     * @return headers in order
+     */
+    public List<Map.Entry<String, String>> toTarget(
+            Iterable<Map.Entry<String, String>> received, List<Map.Entry<String, String>> own) {
+        Set<String> replaced = hopByHop(received);
+        replaced.addAll(notForwarded);
+        own.forEach(header -> replaced.add(lower(header.getKey())));
+        List<Map.Entry<String, String>> headers =
+                select(received, name -> !replaced.contains(name));
+        headers.addAll(own);
+        return headers;
     }
 
     /** Response headers that are forwarded to the caller unchanged. */
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -31,6 +31,7 @@
 import org.sardinelift.core.plan.TargetGroup;
 import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.ExpectedWeights;
+import org.sardinelift.gateway.call.ForwardedHeaders;
 import org.sardinelift.gateway.call.TargetMemoryLimits;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.call.TargetTable.Target;
@@ -83,7 +84,7 @@
     private final HttpClient client;
     private final EventLoop loop;
     private final PlanFeed plans;
-    private final HeaderNames headers;
+    private final ForwardedHeaders headers;
     private final JobAssignment assignment;
     private final ItemTargets itemTargets;
     private final TargetMemoryLimits memory;
@@ -107,7 +108,7 @@
             HttpClient client,
             EventLoop loop,
             PlanFeed plans,
-            HeaderNames headers) {
+            ForwardedHeaders headers) {
         this.instance = instance;
         this.jobs = jobs;
         this.recorder = recorder;
@@ -423,12 +424,17 @@
     private SlotDemand slotDemand(ItemSchedule.ScheduledItem scheduled, ServingPlan plan) {
         return new SlotDemand(
                 itemTargets.group(scheduled, plan),
-                ItemTargets.expectedWeights(scheduled.item().item(), headers));
+                ItemTargets.expectedWeights(scheduled.item().item(), headers()));
     }
 
     /** Starts an item if there is a slot for it; otherwise returns what no slot satisfies. */
     private Optional<SlotDemand> tryStart(
             ItemSchedule.ScheduledItem scheduled, ServingPlan plan, long now) {
+        Optional<String> fault = ItemTargets.findRequestFault(scheduled.item().item());
+        if (fault.isPresent()) {
+            giveUp(scheduled.job(), scheduled.item(), fault.get());
+            return Optional.empty();
+        }
         SlotDemand demand = slotDemand(scheduled, plan);
         TargetGroup group = demand.group();
         Optional<TargetLoad> slot = selectSlot(scheduled, group, now);
@@ -464,7 +470,7 @@
     private List<TargetLoad> withExpectedWeights(
             ItemSchedule.ScheduledItem scheduled, TargetGroup group, long now) {
         return weights.matching(
-                ItemTargets.expectedWeights(scheduled.item().item(), headers),
+                ItemTargets.expectedWeights(scheduled.item().item(), headers()),
                 table.usableLoads(group, Set.of(), now),
                 now);
     }
@@ -496,28 +502,28 @@
 
     private HttpCall httpCall(ItemRun run) {
         var item = run.item().item();
-        List<Map.Entry<String, String>> fields = new ArrayList<>();
-        fields.add(Map.entry("Host", run.scheduledItem().job().spec().host()));
-        item.headers().forEach((name, value) -> fields.add(Map.entry(name, value)));
-        fields.add(Map.entry(headers.callId(), item.id()));
-        fields.add(Map.entry(headers.team(), run.scheduledItem().job().spec().team()));
-        fields.add(Map.entry(headers.expectedTarget(), run.target().id()));
+        var names = headers.names();
+        List<Map.Entry<String, String>> own = new ArrayList<>();
+        own.add(Map.entry("Host", run.scheduledItem().job().spec().host()));
+        own.add(Map.entry(names.callId(), item.id()));
+        own.add(Map.entry(names.team(), run.scheduledItem().job().spec().team()));
+        own.add(Map.entry(names.expectedTarget(), run.target().id()));
         run.item()
                 .lastEventId()
-                .ifPresent(id -> fields.add(Map.entry(headers.lastEventId(), Long.toString(id))));
+                .ifPresent(id -> own.add(Map.entry(names.lastEventId(), Long.toString(id))));
         return new HttpCall(
                 run.target().registration().host(),
                 run.target().registration().port(),
                 "POST",
                 item.path(),
-                fields,
+                headers.toTarget(item.headers().entrySet(), own),
                 item.body(),
                 TARGET_SILENCE_TIMEOUT,
                 false);
     }
 
     HeaderNames headers() {
-        return headers;
+        return headers.names();
     }
 
     PeerNetwork network() {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemTargets.java
@@ -18,6 +18,7 @@
 import org.sardinelift.gateway.HeaderNames;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.peer.PeerNetwork;
+import org.sardinelift.http.RequestSyntax;
 import org.sardinelift.runtime.log.LogEvent;
 
 /**
@@ -80,6 +81,13 @@
                                                 .equals(serviceGroup(scheduled, plan).service()));
     }
 
+    /** Finds out why no target can be sent an item; empty if it can be sent. */
+    static Optional<String> findRequestFault(JobItem item) {
+        Map<String, String> headers = new HashMap<>(item.headers());
+        headers.put("id", item.id());
+        return RequestSyntax.findFault(item.path(), headers.entrySet());
+    }
+
     /** Version of the weights that an item's target must have, empty if any will do. */
     static Optional<String> expectedWeights(JobItem item, HeaderNames headers) {
         return item.headers().entrySet().stream()
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -139,6 +139,15 @@
             respond(exchange, BAD_REQUEST, "a job has 1 to " + MAX_ITEMS + " items");
             return;
         }
+        Optional<JobItem> malformed =
+                items.stream()
+                        .filter(item -> ItemTargets.findRequestFault(item).isPresent())
+                        .findFirst();
+        if (malformed.isPresent()) {
+            String fault = ItemTargets.findRequestFault(malformed.get()).orElseThrow();
+            respond(exchange, BAD_REQUEST, "an item can't be sent to a target: " + fault);
+            return;
+        }
         JobSpec spec =
                 new JobSpec(
                         id,
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
@@ -9,6 +9,7 @@
 import org.sardinelift.gateway.NodeSettings;
 import org.sardinelift.gateway.PlatformAdapter;
 import org.sardinelift.gateway.WorkerSettings;
+import org.sardinelift.gateway.call.ForwardedHeaders;
 import org.sardinelift.gateway.call.TargetTable;
 import org.sardinelift.gateway.feed.PlanFeed;
 import org.sardinelift.gateway.feed.StoreAvailability;
@@ -69,7 +70,7 @@
                         targetClient,
                         loop,
                         plans,
-                        adapter.headerNames());
+                        ForwardedHeaders.of(adapter));
         service =
                 new JobService(
                         node.instance(),
--- a/http/src/main/java/org/sardinelift/http/ClientExchange.java
+++ b/http/src/main/java/org/sardinelift/http/ClientExchange.java
@@ -68,10 +68,19 @@
             client.connect(call, this);
             return;
         }
+        DefaultFullHttpRequest request;
+        try {
+            request = request();
+        } catch (IllegalArgumentException e) {
+            // A header or method that HTTP doesn't allow.
+            target.close();
+            fail(e, wasSent);
+            return;
+        }
         target.pipeline().get(ClientConnection.class).attach(this, call.method().equals("HEAD"));
         isWritten = false;
         wasSent = true;
-        target.writeAndFlush(request())
+        target.writeAndFlush(request)
                 .addListener(
                         future -> {
                             isWritten = future.isSuccess();
