Don't take a repeated refusal for the answer of the next call

Cause: a 421 was taken for the call's whatever the id that it states, since a target that was not meant need not read the id. 408, 429 and 503 of a target were passed on without its statement that it didn't run the call.

Change: a stated id must be the call's. A connection ends with a 421, which may have no id, so that a second one is never read. A status that promises "not run" counts as unknown unless the target states it; callers get 502, or another run where the call may repeat. Items with such an answer count as interrupted instead of failed.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -40,6 +40,7 @@
         OptionalInt statedCalls,
         OptionalInt workTimePercent) {
     private static final int MISDIRECTED = 421;
+    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, MISDIRECTED, 429, 503);
     private static final int SUCCESS_CLASS = 2;
     private static final int STATUS_CLASS_SIZE = 100;
     private static final String TRUE = "1";
@@ -106,6 +107,16 @@
         return status == MISDIRECTED;
     }
 
+    /**
+     * Whether the response has a status that promises callers that a call was not run, though the
+     * target doesn't state that.
+     *
+     * @return true if the call may have run, and the status must not reach the caller
+     */
+    public boolean isUnprovenRefusal() {
+        return !isNotRun && !isRejected() && PROMISES_NOT_RUN.contains(status);
+    }
+
     /**
      * Whether the call reached another target than the one that it was meant for.
      *
@@ -139,7 +150,8 @@
      * @return the reason, or empty if the response belongs to the call
      */
     public Optional<String> findMismatch(String expectedCallId) {
-        if (isRejected() || callId.isPresent() && callId.get().equals(expectedCallId)) {
+        // A target that rejects a call as meant for another one need not read its id.
+        if (callId.map(expectedCallId::equals).orElse(isRejected())) {
             return Optional.empty();
         }
         return Optional.of(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -219,6 +219,8 @@
         } else if (head.isNotRun()) {
             forwardedCall.onAttemptFailed(
                     this, RunOutcome.NOT_RUN, "refused with status " + head.status());
+        } else if (head.isUnprovenRefusal()) {
+            fail("status " + head.status() + " without a statement that the call was not run");
         } else if (parser == null) {
             forwardedCall.onCompleteResponse(this, body.toByteArray());
         } else if (head.isBrokenOff(events, isResumed, parser.hasPartialEvent())) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -167,6 +167,8 @@
             runner.onRefused(this, rejection.get());
         } else if (head.isNotRun()) {
             runner.onRefused(this, "refused with status " + head.status());
+        } else if (head.isUnprovenRefusal()) {
+            fail("status " + head.status() + " without a statement that the item was not run");
         } else if (parser == null) {
             runner.onFailed(this, head.status(), head.status() == UNPROCESSABLE);
         } else if (head.isBrokenOff(eventCount, isResumed, parser.hasPartialEvent())) {
--- a/http/src/main/java/org/sardinelift/http/ClientExchange.java
+++ b/http/src/main/java/org/sardinelift/http/ClientExchange.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -151,7 +152,10 @@
         }
         lastByteNanos = System.nanoTime();
         isHeadReceived = true;
-        isKeepAlive = HttpUtil.isKeepAlive(head);
+        // A peer that repeats a 421 would answer the next call with it (RFC 9110, section 15.5.20).
+        isKeepAlive =
+                HttpUtil.isKeepAlive(head)
+                        && !head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
         keepAliveHeader = head.headers().get(KEEP_ALIVE);
         listener.onHead(head.status().code(), head.headers().entries());
     }
--- a/http/src/test/java/org/sardinelift/http/HttpClientTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpClientTest.java
@@ -274,6 +274,25 @@
                 false);
     }
 
+    /** A peer that writes a refusal once more would refuse the next call, which it runs. */
+    @Test
+    void aRepeatedRefusalIsNotTakenForTheAnswerOfTheNextCall() {
+        String refusal = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+        serve(
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, refusal);
+                    readHead(in);
+                    write(socket, refusal);
+                    in.read();
+                },
+                this::respondOnce);
+        HttpClient client = client(SILENCE_TIMEOUT);
+
+        assertEquals(421, client.call(call()).join().status());
+        assertEquals("ok", client.call(call()).join().text());
+    }
+
     private HttpCall get() {
         return HttpCall.of(
                 "127.0.0.1",
