Write the figures behind a refusal into its detail

What callers saw: the detail of a refusal began with "sends %d, waited %d ms", with its figures missing. Cause: formatted was applied to the second of two joined texts alone.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -268,17 +268,17 @@
         int slots = loads.stream().mapToInt(TargetLoad::slots).sum();
         int online = loads.stream().mapToInt(load -> load.calls().online()).sum();
         int batch = loads.stream().mapToInt(load -> load.calls().batch()).sum();
-        return "sends %d, waited %d ms, %d targets, %d slots, online %d, batch %d, late by %d ms,"
-                + " tokens %d"
-                        .formatted(
-                                sends,
-                                call.earlierWait().toMillis(),
-                                loads.size(),
-                                slots,
-                                online,
-                                batch,
-                                refusal.retryAfter().toMillis(),
-                                call.tokens().orElse(-1));
+        return ("sends %d, waited %d ms, %d targets, %d slots, online %d, batch %d, late by %d ms,"
+                        + " tokens %d")
+                .formatted(
+                        sends,
+                        call.earlierWait().toMillis(),
+                        loads.size(),
+                        slots,
+                        online,
+                        batch,
+                        refusal.retryAfter().toMillis(),
+                        call.tokens().orElse(-1));
     }
 
     private Duration timeLeft(long now) {
