--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRecorder.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRecorder.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.sardinelift.core.joblog.JobProgress;
@@ -37,19 +36,22 @@
     /** Sizes to which the records of jobs are reduced after the store has rejected larger ones. */
     private final Map<String, Integer> reducedSizes = new HashMap<>();
 
-    /** Marks the parts of results that this process records. */
-    private final String series = UUID.randomUUID().toString();
+    private final String series;
 
     /**
      * Creates a recorder.
      *
+     * @param series name that no other worker or process uses, which marks the parts of results
+     *     that this one records
      * @param isAwaitingStore whether a job is not stored yet, so that its records must wait
      */
     JobRecorder(
             JobStorage storage,
             JobRegistry jobs,
             EventLoop loop,
+            String series,
             Predicate<String> isAwaitingStore) {
+        this.series = series;
         this.isAwaitingStore = isAwaitingStore;
         this.storage = storage;
         this.jobs = jobs;
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobWorker.java
@@ -58,7 +58,8 @@
                         network,
                         storeClient,
                         loop);
-        recorder = new JobRecorder(storage, jobs, loop, spool::isPending);
+        String series = node.instance() + "-" + System.currentTimeMillis();
+        recorder = new JobRecorder(storage, jobs, loop, series, spool::isPending);
         runner =
                 new ItemRunner(
                         node.instance(),
