Follow the lists of the store whatever one odd object in them holds

An entry with a port out of range throws where a call or item is placed: the call is never answered, and a job that was stored is answered 503.

Cause: a parser's limits on depth and on the length of numbers refuse the whole page, as does an object without a name. Ports and slots were checked for their type alone. What was thrown while a list was applied kept its feed from reading again.

Change: if a response of the store can't be parsed, values out of bounds are replaced by null and it is parsed again. Failures in applying a list are logged and end no feed. A port out of range fails a call of the HTTP client.

--- a/gateway/src/main/java/org/sardinelift/gateway/feed/CrashCauseFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/CrashCauseFeed.java
@@ -82,7 +82,7 @@
     private void onList(ListResult result) {
         storeAvailability.onResult(result);
         if (result instanceof ListResult.Listed listed) {
-            listed.objects().forEach(this::read);
+            listed.objects().forEach(object -> FeedGuard.run("crash causes", () -> read(object)));
         } else {
             control.schedule(RETRY_INTERVAL, this::list);
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
@@ -25,6 +25,7 @@
 public final class InstanceFeed {
     private static final String KIND = "sardinelift-instances";
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final int MAX_PORT = 65_535;
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
 
     /** Instances learn of a new one by its reports; the list serves those that it can't reach. */
@@ -110,7 +111,7 @@
             return;
         }
         listed.objects().forEach(this::readRegistration);
-        listener.onListed();
+        FeedGuard.run("instances", listener::onListed);
         Optional<StoredObject> ownObject =
                 listed.objects().stream()
                         .filter(object -> object.key().name().equals(instance))
@@ -160,8 +161,11 @@
                     PeerRole.fromLabel(node.path("role").asText())
                             .orElseThrow(() -> new IllegalArgumentException("unknown role"));
             String host = Objects.requireNonNull(node.path("host").textValue(), "host is missing");
-            listener.onInstanceRegistered(
-                    name, peerRole, new Endpoint(host, node.path("port").asInt()));
+            int port = node.path("port").asInt();
+            if (port < 1 || port > MAX_PORT) {
+                throw new IllegalArgumentException("port " + port);
+            }
+            listener.onInstanceRegistered(name, peerRole, new Endpoint(host, port));
         } catch (JsonProcessingException | RuntimeException e) {
             Logger.warn(
                     "Ignoring the unreadable registration of instance {}: {}",
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/PlanFeed.java
@@ -169,7 +169,7 @@
             confirmedAt = askedAt;
         }
         if (result instanceof ReadResult.Found found) {
-            applyIfNewer(found.object().value(), "store");
+            FeedGuard.run("plan", () -> applyIfNewer(found.object().value(), "store"));
             watch(found.object().revision());
         } else if (result instanceof ReadResult.Absent absent) {
             watch(absent.revision());
@@ -205,7 +205,7 @@
             changes.changes().stream()
                     .filter(change -> change.key().equals(adapter.planKey()))
                     .map(WatchResult.Change::object)
-                    .forEach(this::onPlanObject);
+                    .forEach(object -> FeedGuard.run("plan", () -> onPlanObject(object)));
             long next = Math.max(afterRevision, changes.revision());
             control.schedule(WATCH_PAUSE, () -> watch(next));
         } else {
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/TargetFeed.java
@@ -197,9 +197,9 @@
                     listed.objects().equals(snapshot.objects())
                             ? snapshot.changedRevision()
                             : listed.revision();
-            apply(
-                    new Snapshot(listed.objects(), listed.revision(), changedRevision, askedAt),
-                    "store");
+            Snapshot list =
+                    new Snapshot(listed.objects(), listed.revision(), changedRevision, askedAt);
+            FeedGuard.run("targets", () -> apply(list, "store"));
             control.schedule(LIST_INTERVAL, this::list);
         } else {
             control.schedule(RETRY_INTERVAL, this::list);
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
@@ -55,10 +55,10 @@
         }
         try {
             apply(parsed.get(), object.value());
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
             LogEvent.of("job.unreadable")
                     .with("object", object.key().name())
-                    .with("reason", e.getMessage())
+                    .with("reason", e.toString())
                     .error();
         }
     }
--- a/http/src/main/java/org/sardinelift/http/HttpClient.java
+++ b/http/src/main/java/org/sardinelift/http/HttpClient.java
@@ -186,7 +186,14 @@
     }
 
     void connect(HttpCall call, ClientExchange exchange) {
-        ChannelFuture connecting = bootstrap.connect(call.host(), call.port());
+        ChannelFuture connecting;
+        try {
+            connecting = bootstrap.connect(call.host(), call.port());
+        } catch (IllegalArgumentException e) {
+            // A port out of range.
+            exchange.onConnectFailed(e);
+            return;
+        }
         connecting.addListener(
                 future -> {
                     if (future.isSuccess()) {
--- a/objects/src/main/java/org/sardinelift/objects/HttpObjectStore.java
+++ b/objects/src/main/java/org/sardinelift/objects/HttpObjectStore.java
@@ -1,5 +1,6 @@
 package org.sardinelift.objects;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
@@ -250,9 +251,14 @@
     /** Parses the body; only success and conflict responses need one. */
     private static JsonNode json(BufferedHttpResponse answer) throws IOException {
         boolean isJson = answer.body().length > 0 && answer.body()[0] == '{';
-        return isJson || answer.status() == OK
-                ? ObjectJson.MAPPER.readTree(answer.body())
-                : MissingNode.getInstance();
+        if (!isJson && answer.status() != OK) {
+            return MissingNode.getInstance();
+        }
+        try {
+            return ObjectJson.MAPPER.readTree(answer.body());
+        } catch (JsonProcessingException e) {
+            return ObjectJson.MAPPER.readTree(JsonBounds.apply(answer.text()));
+        }
     }
 
     private static boolean mayHaveRun(Throwable error) {
