Read all of a job before its items may run at a worker that hasn't heard of it

Cause: whether a job is open follows from its header, its end and its records. A worker that was asked read the header and the document alone; one that got the job once more started its items as soon as the header existed; a list was reported object by object, so that a closed job looked open for a moment.

Evidence: EndedJobTest on: aReadOfAnEndedJobDoesNotRunItAgain and aRepeatOfAnEndedJobIsAcceptedAndDoesNotRun failed, each with 8 requests at the replica instead of 4.

Change: such a worker reads header, parts, end and records first; if the store doesn't answer, the job stays unknown there. Changes of a list or watch are reported after all of its objects are applied. A stored object of a job that is no JSON object is unreadable.

--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobCodec.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobCodec.java
@@ -91,7 +91,11 @@
 
     private static JsonNode parseJson(String value) {
         try {
-            return MAPPER.readTree(value);
+            JsonNode node = MAPPER.readTree(value);
+            if (!node.isObject()) {
+                throw new IllegalArgumentException("not a JSON object");
+            }
+            return node;
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException(e.getOriginalMessage(), e);
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobFeed.java
@@ -63,27 +63,12 @@
             runAfter(RETRY_DELAY, this::list);
             return;
         }
-        // Document parts are applied before the headers of their jobs, records and ends after them.
-        listed.objects().stream()
-                .filter(object -> isPart(object.key().name()))
-                .forEach(jobs::apply);
-        listed.objects().stream()
-                .filter(object -> object.key().name().endsWith(".job"))
-                .forEach(jobs::apply);
-        listed.objects().stream()
-                .filter(object -> !isPart(object.key().name()))
-                .filter(object -> !object.key().name().endsWith(".job"))
-                .sorted(java.util.Comparator.comparingLong(object -> object.revision()))
-                .forEach(jobs::apply);
+        jobs.applyAll(listed.objects());
         isComplete = true;
         upToDateAt = requestedAt;
         watch(listed.revision());
     }
 
-    private static boolean isPart(String name) {
-        return JobObject.parse(name).filter(JobObject.Part.class::isInstance).isPresent();
-    }
-
     private void watch(long after) {
         long requestedAt = System.nanoTime();
         store.watch(Set.of(JobObject.KIND), after, WATCH_TIMEOUT)
@@ -93,10 +78,11 @@
     private void onWatch(WatchResult result, long after, long requestedAt) {
         storeAvailability.onResult(result);
         if (result instanceof WatchResult.Changes changes) {
-            changes.changes().stream()
-                    .map(WatchResult.Change::object)
-                    .filter(Objects::nonNull)
-                    .forEach(jobs::apply);
+            jobs.applyAll(
+                    changes.changes().stream()
+                            .map(WatchResult.Change::object)
+                            .filter(Objects::nonNull)
+                            .toList());
             upToDateAt = requestedAt;
             runAfter(WATCH_PAUSE, () -> watch(Math.max(after, changes.revision())));
         } else if (result instanceof WatchResult.Gap) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
@@ -1,14 +1,18 @@
 package org.sardinelift.gateway.job;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.core.joblog.JobSpec;
 import org.sardinelift.core.joblog.RecordEntry;
@@ -17,6 +21,10 @@
 
 /** The jobs known to this worker, built from their stored objects; on the event loop. */
 final class JobRegistry {
+    private static final int LAST_RANK = 3;
+    private static final Comparator<StoredObject> APPLY_ORDER =
+            Comparator.comparingInt(JobRegistry::rank).thenComparingLong(StoredObject::revision);
+
     private final JobApi jobApi;
     private final Map<String, JobProgress> jobs = new HashMap<>();
     private final Map<String, Map<Integer, String>> documentParts = new HashMap<>();
@@ -24,6 +32,9 @@
     private Consumer<JobProgress> changeListener = job -> {};
     private Consumer<String> storedListener = job -> {};
 
+    /** Jobs whose change is reported once the objects read together with theirs are applied. */
+    private @Nullable Set<JobProgress> unreportedChanges;
+
     JobRegistry(JobApi jobApi) {
         this.jobApi = jobApi;
     }
@@ -46,6 +57,37 @@
         return jobs.values();
     }
 
+    /**
+     * Applies objects that were read together, and reports changes afterwards: a job that has ended
+     * must not look open until its end is applied.
+     */
+    void applyAll(Collection<StoredObject> objects) {
+        Set<JobProgress> changed = new LinkedHashSet<>();
+        unreportedChanges = changed;
+        objects.stream().sorted(APPLY_ORDER).forEach(this::apply);
+        unreportedChanges = null;
+        changed.forEach(changeListener);
+    }
+
+    private void reportChange(JobProgress job) {
+        if (unreportedChanges == null) {
+            changeListener.accept(job);
+        } else {
+            unreportedChanges.add(job);
+        }
+    }
+
+    /** Parts come before the headers of their jobs, records and ends after them. */
+    private static int rank(StoredObject object) {
+        return JobObject.parse(object.key().name())
+                .map(
+                        parsed ->
+                                parsed instanceof JobObject.Part
+                                        ? 0
+                                        : parsed instanceof JobObject.Header ? 1 : 2)
+                .orElse(LAST_RANK);
+    }
+
     /** Applies a stored object; has no effect if it was applied before. */
     void apply(StoredObject object) {
         Optional<JobObject> parsed = JobObject.parse(object.key().name());
@@ -128,7 +170,7 @@
         if (waiting != null) {
             waiting.forEach((number, value) -> tryApplyWaiting(job, number, value));
         }
-        changeListener.accept(job);
+        reportChange(job);
         return job;
     }
 
@@ -171,13 +213,13 @@
         JobProgress.ApplyResult result =
                 job.applyRecord(recordObject.number(), JobCodec.decodeRecord(value));
         requireNoGap(job, result);
-        changeListener.accept(job);
+        reportChange(job);
     }
 
     /** This worker has written a record. */
     void onRecordWritten(JobProgress job, int number, List<RecordEntry> entries) {
         if (job.applyRecord(number, entries) == JobProgress.ApplyResult.APPLIED) {
-            changeListener.accept(job);
+            reportChange(job);
         }
     }
 
@@ -186,7 +228,7 @@
         if (!job.hasEnded()) {
             job.end();
             LogEvent.of("job.ended").with("job", job.spec().id()).info();
-            changeListener.accept(job);
+            reportChange(job);
         }
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -23,6 +23,7 @@
 import org.sardinelift.gateway.peer.PeerNetwork;
 import org.sardinelift.http.HttpExchange;
 import org.sardinelift.objects.ReadResult;
+import org.sardinelift.objects.StoredObject;
 import org.sardinelift.runtime.log.LogEvent;
 
 /** Answers gateways' calls about batch jobs. On the event loop. */
@@ -235,8 +236,10 @@
 
         private void onStored(JobStorage.CreateResult result) {
             storeResult = result;
-            WorkerMetrics.countSubmission(result.name().toLowerCase(java.util.Locale.ROOT));
-            if (result == JobStorage.CreateResult.EXISTS) {
+            WorkerMetrics.countSubmission(result.label());
+            if (result == JobStorage.CreateResult.EXISTED && jobs.find(spec.id()).isEmpty()) {
+                acceptExisting();
+            } else if (result.exists()) {
                 spool.onJobStored(spec.id());
                 accept();
             } else {
@@ -255,6 +258,24 @@
             }
         }
 
+        /**
+         * Another worker has accepted the job, which may have ended since: what the store holds of
+         * it is read before any of its items may run here.
+         */
+        private void acceptExisting() {
+            loadJob(spec.id())
+                    .thenAccept(
+                            found -> {
+                                if (found.orElse(false)) {
+                                    accept();
+                                } else {
+                                    // The feed adds it once the store answers.
+                                    admission.onAccepted(spec);
+                                    respondOnce(ACCEPTED, "already accepted");
+                                }
+                            });
+        }
+
         private void accept() {
             JobProgress job = jobs.add(spec);
             admission.onAccepted(spec);
@@ -340,7 +361,10 @@
         }
     }
 
-    /** Reads a job; returns whether it exists, or empty if the store doesn't answer. */
+    /**
+     * Reads all that the store holds of a job; returns whether it exists, or empty if the store
+     * doesn't answer.
+     */
     private CompletableFuture<Optional<Boolean>> loadJob(String id) {
         return storage.read(new JobObject.Header(id))
                 .thenCompose(
@@ -351,33 +375,77 @@
                             if (!(result instanceof ReadResult.Found found)) {
                                 return CompletableFuture.completedFuture(Optional.empty());
                             }
-                            int parts = JobCodec.decodeHeader(found.object().value()).parts();
-                            return loadParts(id, 0, parts)
-                                    .thenApply(
-                                            loaded -> {
-                                                jobs.apply(found.object());
-                                                boolean isKnown = jobs.find(id).isPresent();
-                                                return isKnown
-                                                        ? Optional.of(true)
-                                                        : Optional.empty();
-                                            });
+                            return loadRest(id, found.object())
+                                    .exceptionally(error -> logUnreadable(id, error));
                         });
     }
 
-    private CompletableFuture<Boolean> loadParts(String id, int number, int parts) {
-        if (number == parts) {
-            return CompletableFuture.completedFuture(true);
-        }
-        return storage.read(new JobObject.Part(id, number))
+    private CompletableFuture<Optional<Boolean>> loadRest(String id, StoredObject header) {
+        List<StoredObject> objects = new ArrayList<>(List.of(header));
+        return CompletableFuture.completedFuture(header.value())
+                .thenApply(value -> JobCodec.decodeHeader(value).parts())
+                .thenCompose(parts -> loadParts(id, 0, parts, objects))
+                .thenCompose(ignored -> load(new JobObject.End(id), objects))
                 .thenCompose(
+                        end ->
+                                end.isEmpty()
+                                        ? CompletableFuture.completedFuture(false)
+                                        : loadRecords(id, 0, objects))
+                .thenApply(
+                        isComplete -> {
+                            if (isComplete) {
+                                jobs.applyAll(objects);
+                            }
+                            return jobs.find(id).isPresent()
+                                    ? Optional.of(true)
+                                    : Optional.<Boolean>empty();
+                        });
+    }
+
+    private static Optional<Boolean> logUnreadable(String id, Throwable error) {
+        LogEvent.of("job.unreadable").with("object", id).with("reason", error.toString()).error();
+        return Optional.empty();
+    }
+
+    /** Reads an object; returns whether it exists, or empty if the store doesn't answer. */
+    private CompletableFuture<Optional<Boolean>> load(
+            JobObject object, List<StoredObject> objects) {
+        return storage.read(object)
+                .thenApply(
                         result -> {
                             if (result instanceof ReadResult.Found found) {
-                                jobs.apply(found.object());
+                                objects.add(found.object());
+                                return Optional.of(true);
                             }
-                            return loadParts(id, number + 1, parts);
+                            return result instanceof ReadResult.Absent
+                                    ? Optional.of(false)
+                                    : Optional.empty();
                         });
     }
 
+    private CompletableFuture<Boolean> loadParts(
+            String id, int number, int parts, List<StoredObject> objects) {
+        return number == parts
+                ? CompletableFuture.completedFuture(true)
+                : load(new JobObject.Part(id, number), objects)
+                        .thenCompose(
+                                found ->
+                                        found.orElse(false)
+                                                ? loadParts(id, number + 1, parts, objects)
+                                                : CompletableFuture.completedFuture(false));
+    }
+
+    /** Reads the records up to the first that doesn't exist; false if the store doesn't answer. */
+    private CompletableFuture<Boolean> loadRecords(
+            String id, int number, List<StoredObject> objects) {
+        return load(new JobObject.Record(id, number), objects)
+                .thenCompose(
+                        found ->
+                                found.orElse(false)
+                                        ? loadRecords(id, number + 1, objects)
+                                        : CompletableFuture.completedFuture(found.isPresent()));
+    }
+
     private void endJob(HttpExchange exchange, JobProgress job) {
         if (job.hasEnded()) {
             respond(exchange, OK, "ended");
@@ -391,7 +459,7 @@
                                     .with("job", id)
                                     .with("stored", created.name())
                                     .info();
-                            if (created == JobStorage.CreateResult.EXISTS) {
+                            if (created.exists()) {
                                 jobs.onJobEnded(job);
                                 respond(exchange, OK, "ended");
                             } else {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobSpool.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobSpool.java
@@ -327,7 +327,7 @@
                 .thenAccept(
                         created -> {
                             pending.isStoring = false;
-                            if (created == JobStorage.CreateResult.EXISTS) {
+                            if (created.exists()) {
                                 onJobStored(pending.job.id());
                             }
                         });
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobStorage.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobStorage.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sardinelift.core.joblog.RecordEntry;
@@ -25,12 +26,23 @@
 
     /** Outcome of a creation. */
     enum CreateResult {
-        /** The object exists, created now or before. */
-        EXISTS,
+        /** The object was created. */
+        CREATED,
+        /** The object existed before, or a write without an answer has created it. */
+        EXISTED,
         /** The object does not exist and won't be created. */
         NOT_CREATED,
         /** Unknown: the answer to a write was lost. */
-        UNCLEAR
+        UNCLEAR;
+
+        boolean exists() {
+            return this == CREATED || this == EXISTED;
+        }
+
+        /** Name in metrics. */
+        String label() {
+            return exists() ? "exists" : name().toLowerCase(Locale.ROOT);
+        }
     }
 
     JobStorage(ObjectStore store, EventLoop loop, StoreAvailability storeAvailability) {
@@ -45,7 +57,7 @@
         List<String> documentParts = split(document);
         int parts = documentParts.size() - 1;
         CompletableFuture<CreateResult> stored =
-                CompletableFuture.completedFuture(CreateResult.EXISTS);
+                CompletableFuture.completedFuture(CreateResult.CREATED);
         for (int i = 0; i < parts; i++) {
             ObjectKey key = new JobObject.Part(job, i).key();
             String part = documentParts.get(i);
@@ -63,7 +75,7 @@
                 before ->
                         // The job is not accepted without all of its parts, even if the creation of
                         // one is unclear.
-                        before == CreateResult.EXISTS
+                        before.exists()
                                 ? create(
                                         new JobObject.Header(job).key(),
                                         JobCodec.encodeHeader(storedHeader),
@@ -73,7 +85,7 @@
 
     private CompletableFuture<CreateResult> createAfter(
             CreateResult before, ObjectKey key, String value, long deadline) {
-        return before == CreateResult.EXISTS
+        return before.exists()
                 ? create(key, value, deadline)
                 : CompletableFuture.completedFuture(before);
     }
@@ -112,17 +124,16 @@
                         result -> {
                             storeAvailability.onResult(result);
                             boolean isUnclear = wasUnclear || result instanceof WriteResult.Unclear;
-                            boolean exists =
-                                    result instanceof WriteResult.Written
-                                            || result instanceof WriteResult.Conflict;
                             boolean isRejected =
                                     result instanceof WriteResult.NotWritten failed
                                             && failed.isRejected();
                             if (isRejected) {
                                 logRejected(key, ((WriteResult.NotWritten) result).reason());
                             }
-                            if (exists) {
-                                done.complete(CreateResult.EXISTS);
+                            if (result instanceof WriteResult.Written) {
+                                done.complete(CreateResult.CREATED);
+                            } else if (result instanceof WriteResult.Conflict) {
+                                done.complete(CreateResult.EXISTED);
                             } else if (isRejected
                                     || System.nanoTime() + RETRY_DELAY.toNanos() >= deadline) {
                                 done.complete(
