Keep the feed of jobs when what follows from a change fails

Changes are reported after a list is applied, outside of what guards the reading of its objects, so that an exception of a listener would have ended the feed without a line in the log.

--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
@@ -66,7 +66,19 @@
         unreportedChanges = changed;
         objects.stream().sorted(APPLY_ORDER).forEach(this::apply);
         unreportedChanges = null;
-        changed.forEach(changeListener);
+        changed.forEach(this::reportGuarded);
+    }
+
+    /** A failure in what follows from one job's change must not end the feed of all jobs. */
+    private void reportGuarded(JobProgress job) {
+        try {
+            changeListener.accept(job);
+        } catch (RuntimeException e) {
+            LogEvent.of("job.change_failed")
+                    .with("job", job.spec().id())
+                    .with("reason", e.toString())
+                    .error();
+        }
     }
 
     private void reportChange(JobProgress job) {
--- a/gateway/src/test/java/org/sardinelift/gateway/job/JobRegistryTest.java
+++ b/gateway/src/test/java/org/sardinelift/gateway/job/JobRegistryTest.java
@@ -68,6 +68,21 @@
         assertTrue(jobs.find("ended").orElseThrow().hasEnded());
     }
 
+    /** The feed would end, and the worker never hear of another job. */
+    @Test
+    void aFailureInTheListenerDoesNotReachTheFeed() {
+        List<String> reported = new ArrayList<>();
+        jobs.setChangeListener(
+                job -> {
+                    reported.add(job.spec().id());
+                    throw new IllegalStateException("failed");
+                });
+
+        jobs.applyAll(List.of(header("a", 1), header("b", 2)));
+
+        assertEquals(List.of("a", "b"), reported);
+    }
+
     @Test
     void anObjectThatCannotBeReadDoesNotHideTheOthers() {
         jobs.applyAll(
