--- a/gateway/src/main/java/org/sardinelift/gateway/Endpoint.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Endpoint.java
@@ -29,6 +29,16 @@
         return new Endpoint(text.substring(0, colon), port);
     }
 
+    /**
+     * Whether a connection can be opened to a port.
+     *
+     * @param port the port
+     * @return false if it is out of range
+     */
+    public static boolean isConnectable(int port) {
+        return port > 0 && port <= MAX_PORT;
+    }
+
     private static int port(String digits) {
         try {
             return Integer.parseInt(digits);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -40,7 +40,7 @@
         OptionalInt statedCalls,
         OptionalInt workTimePercent) {
     private static final int MISDIRECTED = 421;
-    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, MISDIRECTED, 429, 503);
+    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 429, 503);
     private static final int SUCCESS_CLASS = 2;
     private static final int STATUS_CLASS_SIZE = 100;
     private static final String TRUE = "1";
@@ -114,7 +114,7 @@
      * @return true if the call may have run, and the status must not reach the caller
      */
     public boolean isUnprovenRefusal() {
-        return !isNotRun && !isRejected() && PROMISES_NOT_RUN.contains(status);
+        return !isNotRun && PROMISES_NOT_RUN.contains(status);
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/FeedGuard.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/FeedGuard.java
@@ -3,7 +3,7 @@
 import org.sardinelift.runtime.log.LogEvent;
 
 /** Runs what a feed does with one response of the store, so that a failure doesn't end the feed. */
-final class FeedGuard {
+public final class FeedGuard {
     private FeedGuard() {}
 
     /**
@@ -12,7 +12,7 @@
      * @param feed name of the feed, for the log
      * @param task what to do with the response
      */
-    static void run(String feed, Runnable task) {
+    public static void run(String feed, Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
--- a/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/feed/InstanceFeed.java
@@ -25,7 +25,6 @@
 public final class InstanceFeed {
     private static final String KIND = "sardinelift-instances";
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
-    private static final int MAX_PORT = 65_535;
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
 
     /** Instances learn of a new one by its reports; the list serves those that it can't reach. */
@@ -162,7 +161,7 @@
                             .orElseThrow(() -> new IllegalArgumentException("unknown role"));
             String host = Objects.requireNonNull(node.path("host").textValue(), "host is missing");
             int port = node.path("port").asInt();
-            if (port < 1 || port > MAX_PORT) {
+            if (!Endpoint.isConnectable(port)) {
                 throw new IllegalArgumentException("port " + port);
             }
             listener.onInstanceRegistered(name, peerRole, new Endpoint(host, port));
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobRegistry.java
@@ -16,6 +16,7 @@
 import org.sardinelift.core.joblog.JobProgress;
 import org.sardinelift.core.joblog.JobSpec;
 import org.sardinelift.core.joblog.RecordEntry;
+import org.sardinelift.gateway.feed.FeedGuard;
 import org.sardinelift.objects.StoredObject;
 import org.sardinelift.runtime.log.LogEvent;
 
@@ -66,19 +67,7 @@
         unreportedChanges = changed;
         objects.stream().sorted(APPLY_ORDER).forEach(this::apply);
         unreportedChanges = null;
-        changed.forEach(this::reportGuarded);
-    }
-
-    /** A failure in what follows from one job's change must not end the feed of all jobs. */
-    private void reportGuarded(JobProgress job) {
-        try {
-            changeListener.accept(job);
-        } catch (RuntimeException e) {
-            LogEvent.of("job.change_failed")
-                    .with("job", job.spec().id())
-                    .with("reason", e.toString())
-                    .error();
-        }
+        changed.forEach(job -> FeedGuard.run("jobs", () -> changeListener.accept(job)));
     }
 
     private void reportChange(JobProgress job) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobService.java
@@ -140,13 +140,12 @@
             respond(exchange, BAD_REQUEST, "a job has 1 to " + MAX_ITEMS + " items");
             return;
         }
-        Optional<JobItem> malformed =
+        Optional<String> fault =
                 items.stream()
-                        .filter(item -> ItemTargets.findRequestFault(item).isPresent())
+                        .flatMap(item -> ItemTargets.findRequestFault(item).stream())
                         .findFirst();
-        if (malformed.isPresent()) {
-            String fault = ItemTargets.findRequestFault(malformed.get()).orElseThrow();
-            respond(exchange, BAD_REQUEST, "an item can't be sent to a target: " + fault);
+        if (fault.isPresent()) {
+            respond(exchange, BAD_REQUEST, "an item can't be sent to a target: " + fault.get());
             return;
         }
         JobSpec spec =
@@ -270,7 +269,7 @@
                                     accept();
                                 } else {
                                     // The feed adds it once the store answers.
-                                    admission.onAccepted(spec);
+                                    admission.onRefused(spec, true);
                                     respondOnce(ACCEPTED, "already accepted");
                                 }
                             });
--- a/gateway/src/main/java/org/sardinelift/gateway/job/JobStorage.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/JobStorage.java
@@ -126,10 +126,7 @@
                             boolean isUnclear = wasUnclear || result instanceof WriteResult.Unclear;
                             boolean isRejected =
                                     result instanceof WriteResult.NotWritten failed
-                                            && failed.isRejected();
-                            if (isRejected) {
-                                logRejected(key, ((WriteResult.NotWritten) result).reason());
-                            }
+                                            && isRejected(key, failed);
                             if (result instanceof WriteResult.Written) {
                                 done.complete(CreateResult.CREATED);
                             } else if (result instanceof WriteResult.Conflict) {
@@ -150,12 +147,16 @@
                         loop);
     }
 
-    private static void logRejected(ObjectKey key, String reason) {
-        WorkerMetrics.countRejectedWrite();
-        LogEvent.of("store.value_rejected")
-                .with("object", key.name())
-                .with("reason", reason)
-                .error();
+    /** Whether a write was rejected for its content, so that a retry is useless; logs it if so. */
+    private static boolean isRejected(ObjectKey key, WriteResult.NotWritten failed) {
+        if (failed.isRejected()) {
+            WorkerMetrics.countRejectedWrite();
+            LogEvent.of("store.value_rejected")
+                    .with("object", key.name())
+                    .with("reason", failed.reason())
+                    .error();
+        }
+        return failed.isRejected();
     }
 
     /** Creates a record under its number, without retries. */
