--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 [ -f review/standins-2/classes/CrashSameId.class ] || exit 2
-exec java -Xmx512m -cp review/standins-2/classes:target/sardinelift.jar CrashSameId "$here/record.txt"
+exec java -Xmx256m -cp review/standins-2/classes:target/sardinelift.jar CrashSameId "$here/record.txt"
