--- a/review/standins-2/Bed.java
+++ b/review/standins-2/Bed.java
@@ -70,6 +70,7 @@
         callerPort = freePort();
         readyPort = freePort();
         store = new Store();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         note("network " + net + "x, ports " + internalPort + ", " + callerPort + ", " + readyPort);
     }
 
@@ -223,11 +224,16 @@
         note("all ready");
     }
 
-    @Override
-    public void close() {
+    /** Also used if this process is ended before the case is over. */
+    private void endProcesses() {
         nodes.values().stream()
                 .filter(node -> node.process != null)
                 .forEach(node -> node.process.destroyForcibly());
+    }
+
+    @Override
+    public void close() {
+        endProcesses();
         for (Node node : nodes.values()) {
             try {
                 if (node.process != null) {
--- a/review/standins-2/InPlaceRelease.java
+++ b/review/standins-2/InPlaceRelease.java
@@ -17,10 +17,11 @@
 public final class InPlaceRelease {
     private static final int REPLICAS = 6;
     private static final int REPLACED = 3;
-    private static final int CALLERS = 6;
+    private static final int CALLERS = 12;
     private static final int RELEASES = 7;
     private static final int DOWN_MS = 400;
-    private static final int GAP_MS = 800;
+    private static final int MIN_GAP_MS = 730;
+    private static final int MAX_GAP_MS = 1_100;
 
     /** Bound of the users' bench on streams of two versions. */
     private static final int ALLOWED = 2;
@@ -72,7 +73,7 @@
                 Bed.sleep(DOWN_MS);
                 each.version = "v" + (release + 2);
                 each.start();
-                Bed.sleep(GAP_MS - DOWN_MS);
+                Bed.sleep(MIN_GAP_MS + bed.random.nextInt(MAX_GAP_MS - MIN_GAP_MS) - DOWN_MS);
             }
             Bed.sleep(6000);
         }
