A stopping gateway accepts only calls that end before its exit

Cause: GatewayProcess.drain took whatever arrived on open connections until the process ended, whatever a call might last. Connections were closed only when a poll of 20 ms found them idle; a response whose head had been sent before SIGTERM can't announce the close, and its caller's next request came before the poll.

Change: ShutdownWindow, pure, accepts a call only if its own limit (deadline or route's timeout) ends before the exit; ShutdownGuard refuses others at once as not run (503 stopping, Connection: close, Retry-After 0 where another gateway is there), for calls and for each worker that a batch job call is sent to. Idle connections are closed once the longest call of the configuration doesn't fit; from then on a connection closes when its response is complete, in the write's listener instead of a poll. The drain ends when all connections are closed, since a request could become complete between the last check and the exit. A refusal under way (413, 408) is no longer reset by the close of idle connections. It works since a call that is accepted ends by its own limit, and that lies before the exit.

--- a/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
+++ b/core/src/main/java/org/sardinelift/core/plan/ServingPlan.java
@@ -1,5 +1,6 @@
 package org.sardinelift.core.plan;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -148,6 +149,20 @@
         return routesByHost.getOrDefault(hostName(host), List.of());
     }
 
+    /**
+     * Returns the longest time that a route allows for an online call.
+     *
+     * @return the time, zero if there is no such route
+     */
+    public Duration longestTimeout() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.kind() != CallKind.BATCH)
+                .map(RoutePlan::timeout)
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     private static String hostName(String host) {
         int port = host.indexOf(':');
         return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.sardinelift.core.admission.ShutdownWindow;
 import org.sardinelift.core.peer.PeerRole;
 import org.sardinelift.core.plan.RegisteredTarget;
 import org.sardinelift.core.plan.RequestLimits;
@@ -48,6 +49,7 @@
     private final HttpServer readinessServer;
     private final HttpServer callerServer;
     private final CompletableFuture<Void> drainRequested = new CompletableFuture<>();
+    private volatile ShutdownWindow shutdown = ShutdownWindow.running();
     private volatile boolean isStopping;
 
     private GatewayProcess(GatewaySettings settings, PlatformAdapter adapter) throws BindException {
@@ -75,7 +77,8 @@
                         node.client(),
                         targetTable,
                         node.network(),
-                        node.plans());
+                        node.plans(),
+                        () -> shutdown);
         this.internalServer = node.startInternalServer(targetTable, Node::respondNotFound);
         this.readinessServer =
                 startServer(
@@ -172,22 +175,27 @@
 
     /**
      * Drains the gateway: readiness fails at once, but it serves until the load balancer sends no
-     * more; every request that was read is answered. Returns when that is done or the grace period
-     * is nearly over.
+     * more, as long as calls end before the exit. Connections that are idle once the longest call
+     * would not are closed, and the others when their response is complete. Returns when that is
+     * done or the grace period is nearly over.
      */
     public void drain() {
         long startedAt = System.nanoTime();
+        ShutdownWindow window =
+                ShutdownWindow.stopping(startedAt, settings.node().gracePeriod(), EXIT_RESERVE);
+        shutdown = window;
         isStopping = true;
         LogEvent.of("process.stopping").with("answers_due", callerServer.pendingResponses()).info();
         node.loop().execute(node.network()::announceLeaving);
         callerServer.announceClose();
-        long deadline = startedAt + settings.node().gracePeriod().minus(EXIT_RESERVE).toNanos();
-        sleepUntil(Math.min(deadline, startedAt + BALANCER_REMOVAL_TIME.toNanos()));
+        long acceptUntil = startedAt + BALANCER_REMOVAL_TIME.toNanos();
+        sleepUntil(earlier(acceptUntil, window.lastStart(longestTimeLimit())));
+        callerServer.closeConnectionsWhenIdle();
+        sleepUntil(earlier(acceptUntil, window.exitAt()));
         callerServer.stopAccepting();
-        callerServer.closeIdleConnections();
-        while (callerServer.pendingResponses() > 0 && System.nanoTime() - deadline < 0) {
+        callerServer.closeConnectionsWhenIdle();
+        while (callerServer.connectionCount() > 0 && System.nanoTime() - window.exitAt() < 0) {
             sleep();
-            callerServer.closeIdleConnections();
         }
         LogEvent.of("process.stopped")
                 .with("answers_due", callerServer.pendingResponses())
@@ -195,6 +203,16 @@
                 .info();
     }
 
+    /** Longest time that the configuration in force allows for a call. */
+    private Duration longestTimeLimit() {
+        PlanFeed.CurrentPlan currentPlan = node.plans().current();
+        return currentPlan == null ? Duration.ZERO : currentPlan.plan().longestTimeout();
+    }
+
+    private static long earlier(long one, long other) {
+        return one - other < 0 ? one : other;
+    }
+
     private static void sleepUntil(long time) {
         while (System.nanoTime() - time < 0) {
             sleep();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallHandler.java
@@ -35,14 +35,20 @@
     private final PlanFeed plans;
     private final PlatformAdapter adapter;
     private final JobProxy jobProxy;
+    private final ShutdownGuard shutdownGuard;
     private final CallGate firstGate;
 
     CallHandler(
-            ForwardingContext context, PlanFeed plans, PlatformAdapter adapter, JobProxy jobProxy) {
+            ForwardingContext context,
+            PlanFeed plans,
+            PlatformAdapter adapter,
+            JobProxy jobProxy,
+            ShutdownGuard shutdownGuard) {
         this.context = context;
         this.plans = plans;
         this.adapter = adapter;
         this.jobProxy = jobProxy;
+        this.shutdownGuard = shutdownGuard;
         CallGate start = (exchange, call) -> call.start();
         CallGate shares =
                 context.network().shares().isEnabled() ? new FairShareGate(context, start) : start;
@@ -105,6 +111,11 @@
             jobProxy.submit(exchange, id, team.orElse(""), route);
             return;
         }
+        Duration timeLimit = readTimeLimit(exchange, route);
+        if (!shutdownGuard.allows(timeLimit)) {
+            shutdownGuard.refuse(exchange, id, timeLimit);
+            return;
+        }
         String teamName = route.isPublic() ? "" : team.orElse("");
         Optional<Duration> retryAfter = rateLimitWait(plan, teamName);
         if (retryAfter.isPresent()) {
@@ -135,7 +146,7 @@
                 team,
                 service,
                 plan.version(),
-                deadline.compareTo(route.timeout()) < 0 ? deadline : route.timeout(),
+                readTimeLimit(exchange, route),
                 isRetry ? earlierWait : Duration.ZERO,
                 readLastEventId(exchange),
                 resumedCallId,
@@ -144,6 +155,12 @@
                 RequestTraits.of(fingerprint(team, exchange), service, promptParts));
     }
 
+    /** Longest time until the call's answer is complete: what the caller and the route allow. */
+    private Duration readTimeLimit(HttpExchange exchange, RoutePlan route) {
+        Duration deadline = readDeadline(exchange, route);
+        return deadline.compareTo(route.timeout()) < 0 ? deadline : route.timeout();
+    }
+
     private Duration readDeadline(HttpExchange exchange, RoutePlan route) {
         String text = exchange.header(headerNames().deadlineMs());
         try {
--- a/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/CallPipeline.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
+import org.sardinelift.core.admission.ShutdownWindow;
 import org.sardinelift.core.load.Placement;
 import org.sardinelift.core.load.RetryAfterSchedule;
 import org.sardinelift.gateway.GatewaySettings;
@@ -31,6 +33,7 @@
      * @param table the targets
      * @param network the other instances
      * @param plans the configuration in force
+     * @param shutdown time that the gateway has left for calls
      * @return the pipeline
      */
     public static CallPipeline create(
@@ -41,7 +44,8 @@
             HttpClient peerClient,
             TargetTable table,
             PeerNetwork network,
-            PlanFeed plans) {
+            PlanFeed plans,
+            Supplier<ShutdownWindow> shutdown) {
         table.setDeathListener(network.crashes()::onTargetDeath);
         if (settings.hasFairShares()) {
             ShortageSampler sampler = new ShortageSampler(table, network);
@@ -63,8 +67,9 @@
                         memory,
                         weights,
                         candidateFilters(settings, targetClient, table, network, memory, weights));
-        JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone());
-        return new CallPipeline(new CallHandler(context, plans, adapter, jobs));
+        ShutdownGuard guard = new ShutdownGuard(shutdown, network);
+        JobProxy jobs = new JobProxy(network, peerClient, settings.node().zone(), guard);
+        return new CallPipeline(new CallHandler(context, plans, adapter, jobs, guard));
     }
 
     private static List<CandidateFilter> candidateFilters(
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ErrorResponses.java
@@ -43,6 +43,8 @@
         NO_MEMORY(503, "no_memory", "not_run"),
         /** No target has the version of the weights that the call expects. */
         NO_WEIGHTS(503, "no_weights", "not_run"),
+        /** This gateway stops, and may exit before the call ends. */
+        STOPPING(503, "stopping", "not_run"),
         /** This gateway has no configuration yet. */
         NOT_READY(503, "not_ready", "not_run"),
         /** Every target that received the call failed, or may have run it. */
--- a/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/JobProxy.java
@@ -38,9 +38,11 @@
     private final PeerNetwork network;
     private final HttpClient client;
     private final String zone;
+    private final ShutdownGuard shutdownGuard;
     private long callCount;
 
-    JobProxy(PeerNetwork network, HttpClient client, String zone) {
+    JobProxy(PeerNetwork network, HttpClient client, String zone, ShutdownGuard shutdownGuard) {
+        this.shutdownGuard = shutdownGuard;
         this.network = network;
         this.client = client;
         this.zone = zone;
@@ -103,6 +105,10 @@
             if (!exchange.isOpen()) {
                 return;
             }
+            if (!shutdownGuard.allows(timeout)) {
+                refuseForShutdown();
+                return;
+            }
             if (!workers.hasNext()) {
                 refuse();
                 return;
@@ -115,6 +121,14 @@
                     .whenComplete((answer, error) -> onAnswer(worker, answer, error));
         }
 
+        private void refuseForShutdown() {
+            if (mayBeStored) {
+                refuse();
+            } else {
+                shutdownGuard.refuse(exchange, job, timeout);
+            }
+        }
+
         private void refuse() {
             Kind kind = mayBeStored ? Kind.WORKER_FAILED : Kind.NO_WORKER;
             ErrorResponses.send(
--- a/http/src/main/java/org/sardinelift/http/HttpServer.java
+++ b/http/src/main/java/org/sardinelift/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.sardinelift.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -146,18 +147,22 @@
         state.isClosing = true;
     }
 
-    /** Closes the connections that have no request in progress, not even a partly received one. */
-    public void closeIdleConnections() {
+    /**
+     * Closes the connections that have no request in progress, not even a partly received one, and
+     * from now on any other as soon as the response to its request is complete.
+     */
+    public void closeConnectionsWhenIdle() {
+        state.closesIdleConnections = true;
         connectionCount.forEach(
-                connection ->
-                        connection
-                                .eventLoop()
-                                .execute(
-                                        () ->
-                                                connection
-                                                        .pipeline()
-                                                        .get(ServerConnection.class)
-                                                        .closeIfIdle()));
+                connection -> connection.eventLoop().execute(() -> closeIfIdle(connection)));
+    }
+
+    private static void closeIfIdle(Channel channel) {
+        ServerConnection connection = channel.pipeline().get(ServerConnection.class);
+        // A connection that has ended meanwhile has no handlers any more.
+        if (connection != null) {
+            connection.closeIfIdle();
+        }
     }
 
     /** Stops accepting connections; open ones stay open. */
--- a/http/src/main/java/org/sardinelift/http/ServerConnection.java
+++ b/http/src/main/java/org/sardinelift/http/ServerConnection.java
@@ -174,6 +174,9 @@
         while (!isResponding && !pipelined.isEmpty()) {
             readMessage(context, pipelined.poll());
         }
+        if (state.closesIdleConnections) {
+            closeIfIdle();
+        }
         if (pipelined.isEmpty()) {
             context.read();
         }
@@ -188,7 +191,7 @@
 
     /** Must be called on the connection's event loop. */
     void closeIfIdle() {
-        if (connection != null && !isResponding && request == null) {
+        if (connection != null && !isResponding && !isRefused && request == null) {
             connection.close();
         }
     }
--- a/http/src/main/java/org/sardinelift/http/ServerState.java
+++ b/http/src/main/java/org/sardinelift/http/ServerState.java
@@ -6,4 +6,5 @@
 final class ServerState {
     final AtomicInteger pendingResponses = new AtomicInteger();
     volatile boolean isClosing;
+    volatile boolean closesIdleConnections;
 }
--- a/http/src/test/java/org/sardinelift/http/HttpServerTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpServerTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +32,7 @@
             new HttpLimits(256, 512, 64, 3, Duration.ofMillis(200), Duration.ofSeconds(30));
 
     private final CountDownLatch callerDisconnected = new CountDownLatch(1);
+    private final AtomicReference<HttpExchange> begun = new AtomicReference<>();
     private EventLoopGroup group;
     private HttpServer server;
     private HttpClient client;
@@ -53,6 +55,11 @@
             exchange.addCloseListener(callerDisconnected::countDown);
             return;
         }
+        if (exchange.path().equals("/begin")) {
+            exchange.start(200, Map.of());
+            begun.set(exchange);
+            return;
+        }
         if (exchange.path().equals("/stream")) {
             exchange.start(200, Map.of());
             exchange.write("one,".getBytes(StandardCharsets.UTF_8));
@@ -161,7 +168,7 @@
             busy.getOutputStream().write((head + "content-length: 1\r\n\r\n").getBytes());
             busy.getInputStream().readNBytes("HTTP/1.1 100 Continue\r\n\r\n".length());
             Awaitility.await().until(() -> server.connectionCount() == 2);
-            server.closeIdleConnections();
+            server.closeConnectionsWhenIdle();
 
             assertEquals(-1, idle.getInputStream().read());
             busy.getOutputStream().write("b".getBytes());
@@ -169,6 +176,39 @@
         }
     }
 
+    /** Its response can't announce the close any more, so a next request would be read. */
+    @Test
+    void aConnectionThatIsBusyAtTheCloseIsClosedAfterItsResponse() throws IOException {
+        try (Socket busy = new Socket("127.0.0.1", server.port())) {
+            busy.setSoTimeout(5_000);
+            busy.getOutputStream().write("GET /begin HTTP/1.1\r\nhost: x\r\n\r\n".getBytes());
+            Awaitility.await().until(() -> begun.get() != null);
+            server.announceClose();
+            server.closeConnectionsWhenIdle();
+            begun.get().end();
+
+            String response = new String(busy.getInputStream().readAllBytes());
+
+            assertTrue(response.contains("\r\n0\r\n\r\n"), response);
+        }
+    }
+
+    @Test
+    void aRefusalIsNotCutOffByTheCloseOfIdleConnections() throws IOException {
+        try (Socket refused = new Socket("127.0.0.1", server.port())) {
+            refused.setSoTimeout(5_000);
+            String head = "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 65\r\n\r\n";
+            refused.getOutputStream().write(head.getBytes());
+            Awaitility.await().until(() -> refused.getInputStream().available() > 0);
+            server.closeConnectionsWhenIdle();
+            refused.getOutputStream().write("x".repeat(65).getBytes());
+
+            String response = new String(refused.getInputStream().readAllBytes());
+
+            assertTrue(response.startsWith("HTTP/1.1 413"), response);
+        }
+    }
+
     @Test
     void refusesSlowSender() throws IOException {
         String response = raw("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nabc");
