Count the deaths of targets by incarnation

Cause: TargetTable.reportDeaths named a death by the target's id, where CrashCauseLedger counts incarnations; a second death of an id added nothing, and CrashCause.clearedDeaths hid all later ones of an id once an answer had cleared a request. Evidence: the record shows the same two replicas crash in turn, target.silent each time and target.died only for the first; with new ids the script held.

Change: a death is named by the incarnation (id and start). As the list of targets may lag behind a restart, the start is read from the target's answer to a probe too (PlatformAdapter.startedAtMs); a target that was silent is used only after one. It works since each restart has another name, the same at all instances that list it or have probed it, so that one death still counts once. GET /status shows the incarnation.

--- a/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
+++ b/core/src/main/java/org/sardinelift/core/plan/RegisteredTarget.java
@@ -5,7 +5,7 @@
 /**
  * A target as registered in the store.
  *
- * @param id name of this incarnation of the target
+ * @param id name of the target; a later incarnation may have the same one
  * @param service service that it runs
  * @param host IP address
  * @param port port
@@ -32,7 +32,7 @@
     /**
      * Creates an entry that doesn't state whether the target is cold.
      *
-     * @param id name of this incarnation of the target
+     * @param id name of the target
      * @param service service that it runs
      * @param host IP address
      * @param port port
@@ -81,6 +81,16 @@
      * @return id and start
      */
     public String incarnation() {
-        return id + "/" + startedAtMs;
+        return incarnationStartedAt(startedAtMs);
+    }
+
+    /**
+     * Names a life of the target that began at another time than the registered one.
+     *
+     * @param startMs when it began, Unix milliseconds
+     * @return id and start
+     */
+    public String incarnationStartedAt(long startMs) {
+        return id + "/" + startMs;
     }
 }
--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -65,6 +65,7 @@
                         targetClient,
                         node.loop(),
                         adapter.probePath(),
+                        adapter::startedAtMs,
                         settings.typicalFirstEvent(),
                         settings.typicalCallTime());
         targetTable.setAnswerListener(node.network().rateLimits().cold()::onAnswerChanged);
--- a/gateway/src/main/java/org/sardinelift/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/PlatformAdapter.java
@@ -89,6 +89,15 @@
      */
     String probePath();
 
+    /**
+     * Reads from a target's answer to a probe when the target was started, which tells a restarted
+     * target from the one that is registered.
+     *
+     * @param probeAnswer body of the answer
+     * @return the start, Unix milliseconds; empty if the answer doesn't state it
+     */
+    OptionalLong startedAtMs(byte[] probeAnswer);
+
     /**
      * The callers' API for batch jobs.
      *
--- a/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/StatusReport.java
@@ -65,6 +65,7 @@
                             TargetCalls calls = network.targetLoads().knownCalls(target.id(), now);
                             targets.addObject()
                                     .put("id", target.id())
+                                    .put("incarnation", target.runningIncarnation())
                                     .put("zone", target.registration().zone())
                                     .put("version", target.registration().softwareVersion())
                                     .put("leaving", target.registration().isLeaving())
--- a/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/WorkerProcess.java
@@ -44,6 +44,7 @@
                         targetClient,
                         node.loop(),
                         adapter.probePath(),
+                        adapter::startedAtMs,
                         TYPICAL_FIRST_EVENT,
                         TYPICAL_CALL_TIME);
         targetTable.setAnswerListener(node.network().rateLimits().cold()::onAnswerChanged);
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -10,8 +10,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.LoadTracker;
@@ -26,6 +28,7 @@
 import org.sardinelift.core.quota.StatedRate;
 import org.sardinelift.core.quota.TargetRateLimits;
 import org.sardinelift.gateway.peer.RateLimitLog;
+import org.sardinelift.http.BufferedHttpResponse;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.runtime.log.LogEvent;
@@ -51,6 +54,7 @@
     private final HttpClient client;
     private final EventLoop loop;
     private final String probePath;
+    private final Function<byte[], OptionalLong> startReader;
     private final Duration typicalFirstEvent;
     private final Duration typicalCallTime;
     private final Map<String, Target> targets = new HashMap<>();
@@ -65,7 +69,7 @@
          * A target died while it ran a request.
          *
          * @param request traits of the request
-         * @param target id of the incarnation that died
+         * @param target the incarnation that died
          */
         void onDeath(RequestTraits request, String target);
     }
@@ -101,6 +105,7 @@
         private final WeightVersions weights = WeightVersions.create();
         private final Map<RequestTraits, Long> brokenAt = new HashMap<>();
         private RegisteredTarget registration;
+        private OptionalLong probedStartMs = OptionalLong.empty();
         private boolean isMisdirected;
         private boolean isProbePending;
         private boolean hasBrokenConnection;
@@ -123,7 +128,7 @@
         }
 
         /**
-         * Identifies this incarnation of the target.
+         * Identifies the target; a later incarnation may have the same id.
          *
          * @return the id
          */
@@ -131,6 +136,17 @@
             return registration.id();
         }
 
+        /**
+         * Names the incarnation of the target that answered last. The registration may still be
+         * that of an earlier one.
+         *
+         * @return id and start
+         */
+        public String runningIncarnation() {
+            return registration.incarnationStartedAt(
+                    Math.max(registration.startedAtMs(), probedStartMs.orElse(0)));
+        }
+
         /**
          * Whether the target can be sent calls, as its earlier calls show.
          *
@@ -183,8 +199,10 @@
             HttpClient client,
             EventLoop loop,
             String probePath,
+            Function<byte[], OptionalLong> startReader,
             Duration typicalFirstEvent,
             Duration typicalCallTime) {
+        this.startReader = startReader;
         this.loadTracker = loadTracker;
         this.rateLimits = rateLimits;
         this.client = client;
@@ -202,6 +220,7 @@
      * @param client sends probes
      * @param loop event loop that handles the traffic
      * @param probePath path of probes
+     * @param startReader reads a target's start, Unix milliseconds, from its answer to a probe
      * @param typicalFirstEvent usual time from a send to the first event
      * @param typicalCallTime usual time that an online call occupies a slot
      * @return the table
@@ -212,6 +231,7 @@
             HttpClient client,
             EventLoop loop,
             String probePath,
+            Function<byte[], OptionalLong> startReader,
             Duration typicalFirstEvent,
             Duration typicalCallTime) {
         return new TargetTable(
@@ -220,6 +240,7 @@
                 client,
                 loop,
                 probePath,
+                startReader,
                 typicalFirstEvent,
                 typicalCallTime);
     }
@@ -569,7 +590,8 @@
         if (isLeaving(target)) {
             target.brokenAt.clear();
         }
-        target.brokenAt.keySet().forEach(request -> deathListener.onDeath(request, target.id()));
+        String died = target.runningIncarnation();
+        target.brokenAt.keySet().forEach(request -> deathListener.onDeath(request, died));
         target.brokenAt.clear();
     }
 
@@ -643,6 +665,7 @@
                                 onSilent(
                                         target, "no answer to the probe after a broken connection");
                             } else {
+                                recordStart(target, answer);
                                 onVerified(target);
                                 onAlive.run();
                             }
@@ -672,10 +695,7 @@
             return;
         }
         onRequest(target);
-        client.call(probeCall(target))
-                .whenComplete(
-                        (answer, error) ->
-                                onProbe(target, answer == null ? null : answer.status()));
+        client.call(probeCall(target)).whenComplete((answer, error) -> onProbe(target, answer));
     }
 
     private HttpCall probeCall(Target target) {
@@ -690,10 +710,17 @@
                 true);
     }
 
-    private void onProbe(Target target, @Nullable Integer status) {
-        boolean hasAnswered = status != null && status == OK;
+    private void recordStart(Target target, BufferedHttpResponse probeAnswer) {
+        startReader
+                .apply(probeAnswer.body())
+                .ifPresent(start -> target.probedStartMs = OptionalLong.of(start));
+    }
+
+    private void onProbe(Target target, @Nullable BufferedHttpResponse answer) {
+        boolean hasAnswered = answer != null && answer.status() == OK;
         target.health.onProbeEnded(hasAnswered, System.nanoTime());
         if (hasAnswered) {
+            recordStart(target, answer);
             target.onBytesReceived(System.nanoTime());
             answerListener.onAnswerChanged(target.incarnation, true);
             LogEvent.of("target.answers").with("target", target.id()).info();
