Tests of responses that come early and are reset during the upload

Other operators saw a part of such a response, which has no length, reach the client as complete. Here the call fails as unclear, 502 to callers: when the connection ends, the write that is under way fails before the decoder takes the end of the connection for the end of the body; a reset that is read first fails the call in exceptionCaught. Nothing held that order.

HttpClientTest: a body of 16 MiB, part of a response sent after the head of the request, then a second part and a reset after 0, 3, 10, 60 and 300 ms, or the end of the output and then a reset; and on a connection in use again. Where the peer ends its output in order before it resets, and the request fits into the buffers of the sockets, the reset can't be seen: an orderly end is the only framing that such a response has.

--- a/http/src/test/java/org/sardinelift/http/HttpClientTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpClientTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -34,6 +35,9 @@
             "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(5);
 
+    /** More than the buffers of both sockets hold. */
+    private static final int UPLOAD_BYTES = 16 << 20;
+
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private MultiThreadIoEventLoopGroup group;
     private ServerSocket peer;
@@ -167,6 +171,55 @@
         assertThrows(CompletionException.class, () -> client(SILENCE_TIMEOUT).call(call()).join());
     }
 
+    /** A part of the body and the reset may arrive together, or the end of the output before it. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3, 10, 60, 300})
+    void anEarlyResponseWithoutLengthThatIsResetDuringTheUploadIsNotComplete(int delayMs) {
+        serve(
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+                    Thread.sleep(delayMs);
+                    write(socket, "half");
+                    socket.setSoLinger(true, 0);
+                },
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+                    socket.shutdownOutput();
+                    Thread.sleep(delayMs);
+                    socket.setSoLinger(true, 0);
+                });
+        HttpClient client = client(SILENCE_TIMEOUT);
+
+        assertFailsAsUnclear(client.call(call(true, List.of(), new byte[UPLOAD_BYTES])));
+        assertFailsAsUnclear(client.call(call(true, List.of(), new byte[UPLOAD_BYTES])));
+    }
+
+    @Test
+    void anEarlyResponseWithoutLengthOnAConnectionInUseAgainIsNotComplete() {
+        serve(
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, COMPLETE_RESPONSE);
+                    readHead(in);
+                    write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+                    Thread.sleep(10);
+                    socket.setSoLinger(true, 0);
+                });
+        HttpClient client = client(SILENCE_TIMEOUT);
+        assertEquals("ok", client.call(call()).join().text());
+
+        assertFailsAsUnclear(client.call(call(false, List.of(), new byte[UPLOAD_BYTES])));
+    }
+
+    private static void assertFailsAsUnclear(CompletableFuture<BufferedHttpResponse> response) {
+        CompletionException failure = assertThrows(CompletionException.class, response::join);
+        assertTrue(
+                failure.getCause() instanceof HttpCallException cause && cause.mayHaveRun(),
+                failure.toString());
+    }
+
     @Test
     void failsOnBytesThatAreNoResponse() {
         serve(
