Fail calls whose response has a status that HTTP doesn't define

Cause: the decoder takes any three digits as a status, and TargetAttempt passes on what it doesn't know.

Change: ClientConnection fails such a call as it fails bytes that are no response, so for calls, streams, items, probes, the store, workers and peers alike (RFC 9110, section 15: only 100 to 599 have a class).

--- a/http/src/main/java/org/sardinelift/http/ClientConnection.java
+++ b/http/src/main/java/org/sardinelift/http/ClientConnection.java
@@ -6,9 +6,11 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,6 +40,9 @@
                 context.close();
             } else if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
                 failCall(context, part.decoderResult().cause());
+            } else if (message instanceof HttpResponse head && !isDefined(head.status())) {
+                String reason = "the response has status %d, which HTTP doesn't define";
+                failCall(context, new IOException(reason.formatted(head.status().code())));
             } else {
                 readMessage(current, message);
             }
@@ -46,6 +51,11 @@
         }
     }
 
+    /** Whether HTTP defines the class of a status, so that it has a meaning (RFC 9110, 15). */
+    private static boolean isDefined(HttpResponseStatus status) {
+        return status.codeClass() != HttpStatusClass.UNKNOWN;
+    }
+
     private void readMessage(ClientExchange current, Object message) {
         if (message instanceof HttpResponse head) {
             isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
