Give an item up only after failures of its own

Only a 422, maxAttempts answers of 500, the time or the end of the job or route may end an item.

Cause: ItemRun.onEnd took every answer that is neither a success nor a refusal for a failed run. Evidence: FaultyAnswerTest.

Change: ResponseKind tells in one place what a response says of a run, for calls, streams and items. An item's run that ends with another status than 500 or 422 is interrupted: its output is kept and it runs again after a pause, until its retention is over. A 5xx counts against the target, other statuses don't: an item with a path that no target knows must not take targets out of use.

Tests: itemsAreNotGivenUpForAnswersThatAreNoFailuresOfTheirs failed before with 302, 404 and 502, and passes; itemsAreGivenUpAfterFailuresOfTheirs (500 three runs, 422 one) passes before and after.

--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -44,8 +44,6 @@
     /** Time that a new target needs to register when there is none. */
     private static final Duration TARGET_REGISTRATION_TIME = Duration.ofMillis(500);
 
-    private static final int FIRST_SERVER_ERROR = 500;
-
     private final ForwardingContext context;
     private final HttpExchange exchange;
     private final AdmittedCall call;
@@ -433,7 +431,7 @@
 
     /** A response that is not a stream was received completely. */
     void onCompleteResponse(TargetAttempt from, byte[] body) {
-        boolean failed = from.status() >= FIRST_SERVER_ERROR;
+        boolean failed = from.isServerError();
         if (failed) {
             context.targets().onCallFailed(from.target());
         }
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -39,10 +39,7 @@
         boolean endsWithConnection,
         OptionalInt statedCalls,
         OptionalInt workTimePercent) {
-    private static final int MISDIRECTED = 421;
-    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 429, 503);
-    private static final int SUCCESS_CLASS = 2;
-    private static final int STATUS_CLASS_SIZE = 100;
+    private static final int FIRST_SERVER_ERROR = 500;
     private static final String TRUE = "1";
 
     /** Stands for a head that has not been received yet. */
@@ -89,32 +86,40 @@
     }
 
     /**
-     * Whether the call succeeded, as far as the status tells.
+     * What the response says of the run, once it is complete.
+     *
+     * @return its kind
+     */
+    public ResponseKind kind() {
+        return ResponseKind.of(status, isNotRun);
+    }
+
+    /**
+     * Whether the call succeeded, as far as the head tells.
      *
      * @return true for a status of the success class
      */
     public boolean isSuccess() {
-        return status / STATUS_CLASS_SIZE == SUCCESS_CLASS;
+        return kind() == ResponseKind.SUCCESS;
     }
 
     /**
-     * Whether the target rejected the call, since it isn't the one that the call was meant for, or
-     * since its weights have another version than the call expects.
+     * Whether the target states a failure of its own.
      *
-     * @return true if the call was not run for either reason
+     * @return true for a status of the class of server errors
      */
-    public boolean isRejected() {
-        return status == MISDIRECTED;
+    public boolean isServerError() {
+        return status >= FIRST_SERVER_ERROR;
     }
 
     /**
-     * Whether the response has a status that promises callers that a call was not run, though the
-     * target doesn't state that.
+     * Whether the target rejected the call, since it isn't the one that the call was meant for, or
+     * since its weights have another version than the call expects.
      *
-     * @return true if the call may have run, and the status must not reach the caller
+     * @return true if the call was not run for either reason
      */
-    public boolean isUnprovenRefusal() {
-        return !isNotRun && PROMISES_NOT_RUN.contains(status);
+    public boolean isRejected() {
+        return kind() == ResponseKind.REJECTION;
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -81,6 +81,10 @@
         return head.isSuccess();
     }
 
+    boolean isServerError() {
+        return head.isServerError();
+    }
+
     /** Whether nothing but the end of the connection shows that the response is complete. */
     boolean endsWithConnection() {
         return head.endsWithConnection();
@@ -209,19 +213,28 @@
             return;
         }
         recordProgress();
-        Optional<String> rejection =
-                forwardedCall
-                        .context()
-                        .targets()
-                        .onRejected(target, head, forwardedCall.call().expectedWeights());
-        if (rejection.isPresent()) {
-            forwardedCall.onAttemptFailed(this, RunOutcome.NOT_RUN, rejection.get());
-        } else if (head.isNotRun()) {
-            forwardedCall.onAttemptFailed(
-                    this, RunOutcome.NOT_RUN, "refused with status " + head.status());
-        } else if (head.isUnprovenRefusal()) {
-            fail("status " + head.status() + " without a statement that the call was not run");
-        } else if (parser == null) {
+        switch (head.kind()) {
+            case REJECTION -> forwardedCall.onAttemptFailed(this, RunOutcome.NOT_RUN, rejection());
+            case REFUSAL ->
+                    forwardedCall.onAttemptFailed(
+                            this, RunOutcome.NOT_RUN, "refused with status " + head.status());
+            case UNPROVEN_REFUSAL ->
+                    fail(
+                            "status %d without a statement that the call was not run"
+                                    .formatted(head.status()));
+            default -> onRunEnded();
+        }
+    }
+
+    private String rejection() {
+        return forwardedCall
+                .context()
+                .targets()
+                .onRejected(target, head, forwardedCall.call().expectedWeights());
+    }
+
+    private void onRunEnded() {
+        if (parser == null) {
             forwardedCall.onCompleteResponse(this, body.toByteArray());
         } else if (head.isBrokenOff(events, isResumed, parser.hasPartialEvent())) {
             onStreamBrokenOff();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetTable.java
@@ -539,22 +539,16 @@
      * @param target the target that the call was meant for
      * @param head head of the response
      * @param expectedWeights version of the weights that the call expects, empty if any will do
-     * @return the reason, or empty if the target has not rejected it
+     * @return the reason
      */
-    public Optional<String> onRejected(
-            Target target, ResponseHead head, Optional<String> expectedWeights) {
-        if (!head.isRejected()) {
-            return Optional.empty();
-        }
+    public String onRejected(Target target, ResponseHead head, Optional<String> expectedWeights) {
         if (head.isMisdirected(target.id(), expectedWeights.isPresent())) {
             onMisdirected(target);
-            return Optional.of("the address belongs to another target now");
+            return "the address belongs to another target now";
         }
         expectedWeights.ifPresent(version -> target.weights.onRefused(version, System.nanoTime()));
-        return Optional.of(
-                "the target's weights have version %s instead of %s"
-                        .formatted(
-                                head.weights().orElse("unknown"), expectedWeights.orElse("any")));
+        return "the target's weights have version %s instead of %s"
+                .formatted(head.weights().orElse("unknown"), expectedWeights.orElse("any"));
     }
 
     private void onMisdirected(Target target) {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -20,8 +20,6 @@
 
 /** A run of an item on a target. On the event loop. */
 final class ItemRun implements HttpResponseListener {
-    private static final int UNPROCESSABLE = 422;
-
     private final ItemRunner runner;
     private final ItemSchedule.ScheduledItem scheduledItem;
     private final RoutePlan route;
@@ -162,15 +160,36 @@
         if (!runner.isRunning(this)) {
             return;
         }
-        Optional<String> rejection = runner.table().onRejected(target, head, expectedWeights);
-        if (rejection.isPresent()) {
-            runner.onRefused(this, rejection.get());
-        } else if (head.isNotRun()) {
-            runner.onRefused(this, "refused with status " + head.status());
-        } else if (head.isUnprovenRefusal()) {
-            fail("status " + head.status() + " without a statement that the item was not run");
-        } else if (parser == null) {
-            runner.onFailed(this, head.status(), head.status() == UNPROCESSABLE);
+        switch (head.kind()) {
+            case REJECTION ->
+                    runner.onRefused(
+                            this, runner.table().onRejected(target, head, expectedWeights));
+            case REFUSAL -> runner.onRefused(this, "refused with status " + head.status());
+            case UNPROVEN_REFUSAL ->
+                    fail(
+                            "status %d without a statement that the item was not run"
+                                    .formatted(head.status()));
+            case SUCCESS -> onStreamEnded();
+            case FAILED_RUN -> runner.onFailed(this, head.status(), false);
+            case IMPOSSIBLE -> runner.onFailed(this, head.status(), true);
+            default -> onOtherStatus("status " + head.status());
+        }
+    }
+
+    /**
+     * The status says nothing of the item; only one of the server errors speaks against its target.
+     */
+    private void onOtherStatus(String reason) {
+        if (head.isServerError()) {
+            fail(reason);
+        } else {
+            runner.onInterrupted(this, reason);
+        }
+    }
+
+    private void onStreamEnded() {
+        if (parser == null) {
+            fail("the stream has no events");
         } else if (head.isBrokenOff(eventCount, isResumed, parser.hasPartialEvent())) {
             fail("the stream ended before the end of an event");
         } else {
