Take only the rest of a stream as its end after a break

A 200 with another media type whose bytes parse as events was taken as the rest. Error texts were never passed on.

Cause: ResponseHead.isBrokenOff took a success without events as proof that the stream had been complete, and nothing asked whether it was a stream. Evidence: BrokenStreamTest.

Change: the rest of a stream has status 200 and media type text/event-stream, or the attempt fails at its head. An empty rest proves that nothing was left only with the last chunk, which a target writes at the end of a stream. An item whose rests are empty without that proof twice is run from the start. A caller's own resume answered empty and without framing is broken off too.

Tests: BrokenStreamTest, 9 of 22 failed on the code before, 22 of 22 pass.

--- a/core/src/main/java/org/sardinelift/core/joblog/ItemProgress.java
+++ b/core/src/main/java/org/sardinelift/core/joblog/ItemProgress.java
@@ -117,6 +117,15 @@
         return ++interruptions;
     }
 
+    /**
+     * Counts the runs that were interrupted since the last one that made progress.
+     *
+     * @return number of interruptions in a row
+     */
+    public int interruptions() {
+        return interruptions;
+    }
+
     /** A run made progress, so that earlier interruptions no longer count against the item. */
     public void onProgress() {
         interruptions = 0;
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -82,6 +82,11 @@
         return lastEventId;
     }
 
+    /** Whether the caller has received events, so that only the rest of the stream may follow. */
+    boolean hasForwardedEvents() {
+        return events > 0;
+    }
+
     /** The targets that may run the call. */
     TargetGroup group() {
         return group;
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ResponseHead.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.quota.StatedRate;
 import org.sardinelift.gateway.HeaderNames;
@@ -40,6 +41,10 @@
         OptionalInt statedCalls,
         OptionalInt workTimePercent) {
     private static final int FIRST_SERVER_ERROR = 500;
+    private static final int OK = 200;
+    private static final Pattern EVENT_STREAM =
+            Pattern.compile("text/event-stream\\s*(;.*)?", Pattern.CASE_INSENSITIVE);
+    private static final String CHUNKED = "chunked";
     private static final String TRUE = "1";
 
     /** Stands for a head that has not been received yet. */
@@ -135,16 +140,38 @@
     }
 
     /**
-     * Whether a stream with this head was broken off, though its connection ended in order: a crash
-     * looks the same as the end of a stream without framing.
+     * Finds out why the response isn't the rest of a stream, as far as its head tells.
+     *
+     * @return the reason, or empty if it may be
+     */
+    public Optional<String> findRestFault() {
+        String mediaType = Optional.ofNullable(value(headers, "content-type")).orElse("none");
+        boolean isRest = status == OK && EVENT_STREAM.matcher(mediaType).matches();
+        return isRest
+                ? Optional.empty()
+                : Optional.of(
+                        "status %d with media type %s is not the rest of the stream"
+                                .formatted(status, mediaType));
+    }
+
+    /**
+     * Whether a stream with this head was broken off, though its response ended in order: a crash
+     * looks the same as the end of a stream without framing. An empty rest proves that nothing was
+     * left only where the target has written the last chunk.
      *
      * @param events number of events received
-     * @param isResumed whether the stream resumed another one, which may have been complete
+     * @param isRest whether events of the stream were received before, in another response
      * @param hasPartialEvent whether the end of an event is missing
-     * @return true inside an event, and before the first event of a stream without framing
+     * @return true inside an event, before the first event of a stream without framing, and for an
+     *     empty rest without chunks
      */
-    public boolean isBrokenOff(int events, boolean isResumed, boolean hasPartialEvent) {
-        return hasPartialEvent || endsWithConnection && events == 0 && !isResumed;
+    public boolean isBrokenOff(int events, boolean isRest, boolean hasPartialEvent) {
+        boolean isUnprovenEnd = isRest ? !isChunked() : endsWithConnection;
+        return hasPartialEvent || events == 0 && isUnprovenEnd;
+    }
+
+    private boolean isChunked() {
+        return CHUNKED.equalsIgnoreCase(value(headers, "transfer-encoding"));
     }
 
     /**
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.load.TargetLoad;
 import org.sardinelift.core.outcome.RunOutcome;
@@ -32,7 +33,7 @@
     private int events;
     private ResponseHead head = ResponseHead.NONE;
     private @Nullable EventStreamParser parser;
-    private boolean isResumed;
+    private boolean isRest;
 
     TargetAttempt(ForwardedCall forwardedCall, Target target, TargetLoad load, long sentAt) {
         this.forwardedCall = forwardedCall;
@@ -125,15 +126,24 @@
         if (head.isSuccess() && !head.isSigned()) {
             fail("the response has no signature header");
         } else if (head.isSuccess() && forwardedCall.isStream()) {
-            isResumed = forwardedCall.lastEventId().isPresent();
-            parser =
-                    isResumed
-                            ? EventStreamParser.resumingAfter(
-                                    forwardedCall.lastEventId().getAsLong())
-                            : EventStreamParser.fromStart();
+            startStream();
         }
     }
 
+    private void startStream() {
+        isRest = forwardedCall.hasForwardedEvents();
+        Optional<String> fault = isRest ? head.findRestFault() : Optional.empty();
+        if (fault.isPresent()) {
+            fail(fault.get());
+            return;
+        }
+        OptionalLong lastEventId = forwardedCall.lastEventId();
+        parser =
+                lastEventId.isPresent()
+                        ? EventStreamParser.resumingAfter(lastEventId.getAsLong())
+                        : EventStreamParser.fromStart();
+    }
+
     private void recordRateLimit() {
         ForwardingContext context = forwardedCall.context();
         if (context.targets().onStatedRate(target, head.statedRate(), sentAt)) {
@@ -236,7 +246,7 @@
     private void onRunEnded() {
         if (parser == null) {
             forwardedCall.onCompleteResponse(this, body.toByteArray());
-        } else if (head.isBrokenOff(events, isResumed, parser.hasPartialEvent())) {
+        } else if (head.isBrokenOff(events, isRest, parser.hasPartialEvent())) {
             onStreamBrokenOff();
         } else {
             target.health().onSuccess(lastProgressAt - firstEventAt, events - 1);
@@ -259,7 +269,10 @@
     }
 
     private void onStreamBrokenOff() {
-        String reason = "the stream ended before the end of an event";
+        String reason =
+                parser != null && parser.hasPartialEvent()
+                        ? "the stream ended before the end of an event"
+                        : "the stream ended without an event, and without proof that none was left";
         if (head.endsWithConnection()) {
             onConnectionBroken(reason);
         } else {
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.sardinelift.core.joblog.ItemProgress;
 import org.sardinelift.core.joblog.ItemSchedule;
@@ -33,7 +34,7 @@
     private long heldTokens;
     private ResponseHead head = ResponseHead.NONE;
     private @Nullable EventStreamParser parser;
-    private boolean isResumed;
+    private boolean isRest;
 
     ItemRun(
             ItemRunner runner,
@@ -127,14 +128,24 @@
         if (head.isSuccess() && !head.isSigned()) {
             fail("the answer has no signature");
         } else if (head.isSuccess()) {
-            isResumed = item().lastEventId().isPresent();
-            parser =
-                    isResumed
-                            ? EventStreamParser.resumingAfter(item().lastEventId().getAsLong())
-                            : EventStreamParser.fromStart();
+            startStream();
         }
     }
 
+    private void startStream() {
+        OptionalLong lastEventId = item().lastEventId();
+        isRest = lastEventId.isPresent();
+        Optional<String> fault = isRest ? head.findRestFault() : Optional.empty();
+        if (fault.isPresent()) {
+            fail(fault.get());
+            return;
+        }
+        parser =
+                isRest
+                        ? EventStreamParser.resumingAfter(lastEventId.getAsLong())
+                        : EventStreamParser.fromStart();
+    }
+
     @Override
     public void onData(byte[] part) {
         if (!runner.isRunning(this) || parser == null) {
@@ -188,12 +199,14 @@
     }
 
     private void onStreamEnded() {
-        if (parser == null) {
-            fail("the stream has no events");
-        } else if (head.isBrokenOff(eventCount, isResumed, parser.hasPartialEvent())) {
+        boolean hasPartialEvent = parser != null && parser.hasPartialEvent();
+        if (!head.isBrokenOff(eventCount, isRest, hasPartialEvent)) {
+            runner.onCompleted(this);
+        } else if (hasPartialEvent) {
             fail("the stream ended before the end of an event");
         } else {
-            runner.onCompleted(this);
+            fail("the stream ended without an event, and without proof that none was left");
+            runner.onUnprovenEnd(this);
         }
     }
 
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRunner.java
@@ -607,6 +607,16 @@
         }
     }
 
+    /**
+     * A run ended without showing whether the output was complete. If the next one does so too,
+     * only a run from the start shows where the output ends.
+     */
+    void onUnprovenEnd(ItemRun run) {
+        if (run.item().interruptions() > 1 && run.item().lastEventId().isPresent()) {
+            itemTargets.startOver(run.scheduledItem(), "its targets don't show where it ends");
+        }
+    }
+
     /** The run was interrupted; the next one resumes after the last event. */
     void onInterrupted(ItemRun run, String reason) {
         WorkerMetrics.countRun("cut");
