Bound the memory of all incomplete responses of a process

While a target sent bodies without end, calls ended with "Java heap space": 6 of 12 at once on one gateway of 96 MB, 20 of 24 and 55 of 60; beside the 60, 178 of 313 sound calls were refused.

Cause: each response had a bound, 16 MiB for a body, the process none; a growing array holds up to three times its bytes.

Change: ResponseMemory, pure, counts what the incomplete responses of all clients of a process hold: bodies, events received in part, and bytes that wait for slow callers. Beyond a third of the heap those that hold most are failed until the rest fits, so that small ones go on. BodyBuffer keeps parts instead of a growing array. Metrics sardinelift_held_response_bytes and sardinelift_evicted_responses_total.

Tests: without the bound 4 of 5 of ResponseMemoryTest and HttpClientTest.responsesWithoutEndKeepWithinTheBoundOfTheProcess fail; all pass.

--- a/core/src/main/java/org/sardinelift/core/stream/EventStreamParser.java
+++ b/core/src/main/java/org/sardinelift/core/stream/EventStreamParser.java
@@ -21,6 +21,9 @@
     /** A peer that never ends an event must not fill the memory. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** Larger buffers are not kept for the next event. */
+    private static final int MAX_KEPT_BYTES = 64 << 10;
+
     private byte[] buffer = new byte[0];
     private int length;
     private int lineStart;
@@ -99,6 +102,15 @@
         return length > 0;
     }
 
+    /**
+     * Returns the memory that is held for events received in part.
+     *
+     * @return number of bytes
+     */
+    public int heldBytes() {
+        return buffer.length;
+    }
+
     private Optional<StreamEvent> parseEvent(byte[] raw) {
         Optional<String> text = decode(raw);
         if (text.isEmpty()) {
@@ -186,6 +198,9 @@
     private void remove(int end) {
         System.arraycopy(buffer, end, buffer, 0, length - end);
         length -= end;
+        if (length == 0 && buffer.length > MAX_KEPT_BYTES) {
+            buffer = new byte[0];
+        }
         lineStart = 0;
         scanned = 0;
     }
--- a/gateway/src/main/java/org/sardinelift/gateway/Node.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/Node.java
@@ -96,6 +96,7 @@
 
     private Node(NodeSettings settings, PeerRole role, PlatformAdapter adapter)
             throws BindException {
+        ResponseMemoryMetrics.register();
         this.settings = settings;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.loop = (EventLoop) group.next();
--- a/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/ForwardedCall.java
@@ -82,6 +82,11 @@
         return lastEventId;
     }
 
+    /** Bytes of the response that the caller has not read yet. */
+    long unsentBytes() {
+        return exchange.unsentBytes();
+    }
+
     /** Whether the caller has received events, so that only the rest of the stream may follow. */
     boolean hasForwardedEvents() {
         return events > 0;
--- a/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/call/TargetAttempt.java
@@ -1,6 +1,5 @@
 package org.sardinelift.gateway.call;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +11,7 @@
 import org.sardinelift.core.stream.EventStreamParser;
 import org.sardinelift.core.stream.StreamEvent;
 import org.sardinelift.gateway.call.TargetTable.Target;
+import org.sardinelift.http.BodyBuffer;
 import org.sardinelift.http.HttpCall;
 import org.sardinelift.http.HttpClient;
 import org.sardinelift.http.HttpResponseListener;
@@ -26,7 +26,7 @@
     private final SoftwareVersion softwareVersion;
     private final TargetLoad load;
     private final long sentAt;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer body = BodyBuffer.create();
     private Runnable canceller = () -> {};
     private long lastProgressAt;
     private long firstEventAt;
@@ -197,7 +197,13 @@
             return;
         }
         recordProgress();
-        body.writeBytes(part);
+        body.add(part);
+    }
+
+    @Override
+    public long heldBytes() {
+        int partialEvent = parser == null ? 0 : parser.heldBytes();
+        return body.size() + partialEvent + forwardedCall.unsentBytes();
     }
 
     /** Time that the call has occupied its slot, without the wait in the target's queue. */
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -166,6 +166,11 @@
         }
     }
 
+    @Override
+    public long heldBytes() {
+        return parser == null ? 0 : parser.heldBytes();
+    }
+
     @Override
     public void onEnd() {
         if (!runner.isRunning(this)) {
--- a/http/src/main/java/org/sardinelift/http/ClientExchange.java
+++ b/http/src/main/java/org/sardinelift/http/ClientExchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeUnit;
@@ -17,13 +18,14 @@
 import org.jspecify.annotations.Nullable;
 
 /** One call in flight; its callbacks run on its connection's event loop. */
-final class ClientExchange {
+final class ClientExchange implements ResponseMemory.Holder {
     private static final String KEEP_ALIVE = "keep-alive";
 
     private final HttpClient client;
     private final HttpCall call;
     private final ResponseBounds bounds;
     private final HttpResponseListener listener;
+    private final ResponseMemory memory;
     private volatile @Nullable Channel channel;
     private volatile boolean isCancelled;
     private boolean isPooled;
@@ -42,7 +44,9 @@
             HttpClient client,
             HttpCall call,
             ResponseBounds bounds,
+            ResponseMemory memory,
             HttpResponseListener listener) {
+        this.memory = memory;
         this.client = client;
         this.call = call;
         this.bounds = bounds;
@@ -131,8 +135,12 @@
     }
 
     private void abort(String reason) {
+        abort(new TimeoutException(reason));
+    }
+
+    private void abort(Exception cause) {
         Channel open = channel;
-        fail(new TimeoutException(reason), true);
+        fail(cause, true);
         if (open != null) {
             open.close();
         }
@@ -141,6 +149,7 @@
     /** Cancels the timer too: it would keep the call and its body in memory until it fires. */
     private void finish() {
         isDone = true;
+        memory.onEnded(this);
         if (silenceTimer != null) {
             silenceTimer.cancel(false);
         }
@@ -170,6 +179,24 @@
             abort("the body is longer than " + bounds.maxBodyBytes() + " bytes");
         } else if (part.length > 0) {
             listener.onData(part);
+            if (!isDone) {
+                memory.onChanged(this);
+            }
+        }
+    }
+
+    @Override
+    public long heldBytes() {
+        return listener.heldBytes();
+    }
+
+    @Override
+    public void evict(String reason) {
+        Channel open = channel;
+        if (open != null && open.eventLoop().inEventLoop()) {
+            abort(new IOException(reason));
+        } else if (open != null) {
+            open.eventLoop().execute(() -> abort(new IOException(reason)));
         }
     }
 
--- a/http/src/main/java/org/sardinelift/http/HttpClient.java
+++ b/http/src/main/java/org/sardinelift/http/HttpClient.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.ssl.SslContext;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +39,7 @@
 
     private final Bootstrap bootstrap;
     private final long maxIdleNanos;
+    private final ResponseMemory memory;
     private final Map<String, ConcurrentLinkedDeque<IdleConnection>> idleConnections =
             new ConcurrentHashMap<>();
 
@@ -54,7 +54,8 @@
         }
     }
 
-    private HttpClient(Bootstrap bootstrap, long maxIdleNanos) {
+    private HttpClient(Bootstrap bootstrap, long maxIdleNanos, ResponseMemory memory) {
+        this.memory = memory;
         this.bootstrap = bootstrap;
         this.maxIdleNanos = maxIdleNanos;
     }
@@ -69,7 +70,7 @@
      */
     public static HttpClient create(
             EventLoopGroup group, Duration connectTimeout, @Nullable Supplier<SslContext> tls) {
-        return create(group, connectTimeout, UNBOUNDED_NANOS, tls);
+        return create(group, connectTimeout, UNBOUNDED_NANOS, tls, ResponseMemory.ofProcess());
     }
 
     /**
@@ -82,14 +83,32 @@
      */
     public static HttpClient createPlaintext(
             EventLoopGroup group, Duration connectTimeout, Duration maxIdle) {
-        return create(group, connectTimeout, maxIdle.toNanos(), null);
+        return createPlaintext(group, connectTimeout, maxIdle, ResponseMemory.ofProcess());
+    }
+
+    /**
+     * Creates a client for plaintext whose responses have a bound on their memory of their own.
+     *
+     * @param group event loops
+     * @param connectTimeout maximum time to connect
+     * @param maxIdle maximum time without a call after which a connection is still reused
+     * @param memory bounds the memory of incomplete responses
+     * @return the client
+     */
+    public static HttpClient createPlaintext(
+            EventLoopGroup group,
+            Duration connectTimeout,
+            Duration maxIdle,
+            ResponseMemory memory) {
+        return create(group, connectTimeout, maxIdle.toNanos(), null, memory);
     }
 
     private static HttpClient create(
             EventLoopGroup group,
             Duration connectTimeout,
             long maxIdleNanos,
-            @Nullable Supplier<SslContext> tls) {
+            @Nullable Supplier<SslContext> tls,
+            ResponseMemory memory) {
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(group)
@@ -117,7 +136,7 @@
                                                 .addLast(new ClientConnection(decoder));
                                     }
                                 });
-        return new HttpClient(bootstrap, maxIdleNanos);
+        return new HttpClient(bootstrap, maxIdleNanos, memory);
     }
 
     /**
@@ -133,7 +152,7 @@
     }
 
     private Runnable send(HttpCall call, ResponseBounds bounds, HttpResponseListener listener) {
-        ClientExchange exchange = new ClientExchange(this, call, bounds, listener);
+        ClientExchange exchange = new ClientExchange(this, call, bounds, memory, listener);
         Channel pooled = pollIdle(call);
         if (pooled != null) {
             exchange.sendOver(pooled, true);
@@ -152,7 +171,7 @@
      */
     public CompletableFuture<BufferedHttpResponse> call(HttpCall call) {
         CompletableFuture<BufferedHttpResponse> response = new CompletableFuture<>();
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        BodyBuffer body = BodyBuffer.create();
         send(
                 call,
                 ResponseBounds.ofBuffered(call.silenceTimeout()),
@@ -168,7 +187,12 @@
 
                     @Override
                     public void onData(byte[] part) {
-                        body.writeBytes(part);
+                        body.add(part);
+                    }
+
+                    @Override
+                    public long heldBytes() {
+                        return body.size();
                     }
 
                     @Override
--- a/http/src/main/java/org/sardinelift/http/HttpExchange.java
+++ b/http/src/main/java/org/sardinelift/http/HttpExchange.java
@@ -270,6 +270,15 @@
         return channel.isWritable();
     }
 
+    /**
+     * Bytes of the response that wait for the caller to read.
+     *
+     * @return number of bytes above the connection's limit, 0 while the caller reads fast enough
+     */
+    public long unsentBytes() {
+        return channel.bytesBeforeWritable();
+    }
+
     /**
      * Runs an action if the connection closes before the complete response was written.
      *
--- a/http/src/main/java/org/sardinelift/http/HttpResponseListener.java
+++ b/http/src/main/java/org/sardinelift/http/HttpResponseListener.java
@@ -24,6 +24,15 @@
      */
     void onData(byte[] part);
 
+    /**
+     * Asked after each part, for the bound of all incomplete responses.
+     *
+     * @return bytes of the response that the listener holds in memory now
+     */
+    default long heldBytes() {
+        return 0;
+    }
+
     /** Called when the response is complete. */
     void onEnd();
 
--- a/http/src/test/java/org/sardinelift/http/HttpClientTest.java
+++ b/http/src/test/java/org/sardinelift/http/HttpClientTest.java
@@ -22,6 +22,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,6 +37,9 @@
             "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(5);
 
+    /** Less than the bound of one response. */
+    private static final int HELD_BYTES = 4 << 20;
+
     /** More than the buffers of both sockets hold. */
     private static final int UPLOAD_BYTES = 16 << 20;
 
@@ -220,6 +225,46 @@
                 failure.toString());
     }
 
+    /** Each is below its own bound when they hold too much together. */
+    @Test
+    void responsesWithoutEndKeepWithinTheBoundOfTheProcess() throws Exception {
+        Session endless =
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, "HTTP/1.1 200 OK\r\n\r\n");
+                    while (true) {
+                        write(socket, "x".repeat(8_192));
+                    }
+                };
+        Session sound =
+                (socket, in) -> {
+                    readHead(in);
+                    write(socket, COMPLETE_RESPONSE);
+                };
+        serve(endless, endless, endless, endless, endless, endless, sound);
+        ResponseMemory memory = ResponseMemory.ofBytes(HELD_BYTES);
+        HttpClient client =
+                HttpClient.createPlaintext(group, Duration.ofSeconds(1), SILENCE_TIMEOUT, memory);
+
+        List<CompletableFuture<BufferedHttpResponse>> responses =
+                IntStream.range(0, 6)
+                        .mapToObj(i -> client.call(call(true, List.of(), new byte[0])))
+                        .toList();
+        Awaitility.await().until(() -> requests.size() == responses.size());
+        CompletableFuture<BufferedHttpResponse> small =
+                client.call(call(true, List.of(), new byte[0]));
+
+        assertEquals("ok", small.get(5, TimeUnit.SECONDS).text());
+        long evicted =
+                responses.stream().filter(each -> failureOf(each).contains("hold more")).count();
+        assertTrue(evicted >= responses.size() - 1, evicted + " responses evicted");
+        Awaitility.await().until(() -> memory.totalBytes() == 0);
+    }
+
+    private static String failureOf(CompletableFuture<BufferedHttpResponse> response) {
+        return assertThrows(CompletionException.class, response::join).getCause().toString();
+    }
+
     @Test
     void failsOnBytesThatAreNoResponse() {
         serve(
