--- a/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/GatewayProcess.java
@@ -175,10 +175,10 @@
     }
 
     /**
-     * Drains the gateway: readiness fails at once, but it serves until the load balancer sends no
-     * more, as long as calls end before the exit. Connections that are idle once the longest call
-     * would not are closed, and the others when their response is complete. Returns when that is
-     * done or the grace period is nearly over.
+     * Drains the gateway: readiness fails at once, but until the load balancer sends no more, calls
+     * that end before the exit are served. From the moment on at which the longest call of the
+     * configuration would not, idle connections are closed, and busy ones when their response is
+     * complete. Returns when all are closed or the grace period is nearly over.
      */
     public void drain() {
         long startedAt = System.nanoTime();
--- a/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
+++ b/gateway/src/main/java/org/sardinelift/gateway/job/ItemRun.java
@@ -192,9 +192,7 @@
         }
     }
 
-    /**
-     * The status says nothing of the item; only one of the server errors speaks against its target.
-     */
+    /** The status says nothing of the item; a server error speaks against its target. */
     private void onOtherStatus(String reason) {
         if (head.isServerError()) {
             fail(reason);
